--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -7,11 +7,14 @@
 import logging
 import random
 
+import msgspec
+
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.fleet.cloud import Cloud, CloudDown
-from cloverplank.fleet.holder import Block, Deposed, Limits
+from cloverplank.fleet.holder import Block, Deposed, Limits, Unanswered
 from cloverplank.fleet.leader import Leader
 from cloverplank.fleet.machines import Health
+from cloverplank.fleet.returning import Returning, is_return
 from cloverplank.fleet.roster import Roster
 from cloverplank.jobs.book import Book, JobView
 from cloverplank.jobs.headroom import Headroom
@@ -25,7 +28,7 @@
 from cloverplank.state import keys
 from cloverplank.state.client import Budget, Lost, Refused, StateClient, Unknown
 from cloverplank.state.fresh import Fresh
-from cloverplank.state.keys import BlockRecord, MachineRecord
+from cloverplank.state.keys import BlockRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session, Standing
@@ -40,9 +43,16 @@
 
 ROUND_S = 0.03  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
+ROUND_PART = 0.35  # of the processor that rounds may take: reports and leases come first
+NOTE_S = 0.1  # between two notes of the own machines in the roster
+MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
 SHY_S = 20.0
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
 LEADER_WEIGHT, HOLDER_WEIGHT = 2.0, 2.0
+EVEN_PART = 0.3  # of the changes a second, split evenly; the rest goes by need
+# Watches are opened anew by their share of this part of all requests; leader and holders wait for news
+# with every job, the others only keep up.
+WATCH_PART, WATCH_WEIGHT, LEAST_GAP_S = 0.3, 3.0, 0.03
 
 
 class Controller:
@@ -63,9 +73,7 @@
             Budget(facts.state.rps / count, clock), Budget(facts.state.write_rps / count, clock),
         )
         self.book = Book()
-        # Watches are re-opened at a twentieth of this controller's share of requests... at most 25 a second.
-        gap_s = max(0.04, 6.0 * count / facts.state.rps)
-        self.mirror = Mirror(self.client, self.book, clock, gap_s)
+        self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * facts.state.rps)))
         self.queue = CommitQueue(self.client, self.mirror, clock)
         self.fresh = Fresh(self.client, self.mirror, facts.state.txn_ops)
         workers = facts.workers
@@ -94,6 +102,7 @@
         self._began = clock.mono()
         self.peers: dict[NodeId, tuple[Hint, Mono]] = {}
         self.roster = Roster(clock)
+        self.returning = Returning(self.mirror)
         self.headroom = Headroom(
             {o.job_class for o in facts.objectives if o.kind == "wait" and o.job_class},
             operator.headroom_factor, operator.headroom_least_tasks,
@@ -106,11 +115,12 @@
         self._types: dict[str, MachineType] = {}
         self._heard: dict[str, dict[str, Mono]] = {z: {} for z in self.zones}
         self._kicked = asyncio.Event()
+        self._noted_at = Mono(-1e9)
         self._tasks: set[asyncio.Task] = set()
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
         self.leader = Leader(
             platform, operator, clock, self.session, self.mirror, self.queue, self.roster, self.cloud,
-            self.headroom, lambda: self._types, self.peers, self.targets,
+            self.headroom, lambda: self._types, self.peers, self.targets, self.returning,
         )
         self.users = Users(
             clock, self.client, self.mirror, self.queue, self.fresh,
@@ -143,10 +153,8 @@
             found = self.mirror.value(keys.TYPES, MachineTypes)
             if found is not None:
                 self._types = {t.name: t for t in found[0].types}
-        elif key.startswith(keys.MACHINES):
-            found_machine = self.mirror.value(key, MachineRecord)
-            if found_machine is not None and found_machine[0].phase == "gone":
-                name = key[len(keys.MACHINES):]
+        elif is_return(key):
+            for name in self.returning.news(key):
                 self.roster.release(name)
                 for block in self.blocks.values():
                     block.released(name)
@@ -189,6 +197,9 @@
             return answer(421, Redirect())
         if len(heard) < 10_000:
             heard[report.machine] = now
+        if report.machine in self.roster.left:
+            # Released: a late copy. It must not bring the machine back.
+            return answer(503, ErrorAnswer("released"), Retry_After="30")
         zone = Zone(report.zone)
         block = self.blocks.get(zone)
         if block is not None and not block.deposed:
@@ -198,6 +209,8 @@
             if self.session.grant(zone) == block.baton or self._bumped.get(zone) == self.session.grant(zone):
                 try:
                     return answer(200, block.on_report(report))
+                except Unanswered as err:
+                    return answer(503, ErrorAnswer(str(err)), Retry_After="1")
                 except Deposed:
                     self.kick()
                     return answer(421, Redirect())
@@ -217,6 +230,10 @@
         ]
         return max(found)[1] if found else None
 
+    def _hint_of(self, node: NodeId, now: Mono) -> Hint | None:
+        hint, at = self.peers.get(node, (None, Mono(-1e9)))
+        return hint if now - at < 4.0 else None
+
     def _deaf(self, node: NodeId, zone: Zone) -> bool:
         """By its own word it holds the block and hears nobody: no use to send workers there."""
         hint, at = self.peers.get(node, (None, Mono(-1e9)))
@@ -284,7 +301,7 @@
         log.info("block %s: taken, baton %d", zone, baton)
         block = Block(
             zone, baton, self._clock, self.book, self.mirror, self.queue, self._http, self.limits,
-            lambda: self._types,
+            lambda: self._types, self.returning,
             lambda: self.session.check() is Standing.MEMBER and zone in self.blocks,
             self.kick,
         )
@@ -310,6 +327,10 @@
 
     def _note_own(self) -> None:
         """The own blocks' machines into the roster, as a peer's would come by hint."""
+        now = self._clock.mono()
+        if now - self._noted_at < NOTE_S:
+            return
+        self._noted_at = now
         for hint in self._machine_hints():
             self.roster.hinted(hint)
 
@@ -336,10 +357,10 @@
         now = self._clock.wall()
         turns = in_order(
             (v.staged for v in self.book.jobs.values() if v.staged.phase is Phase.OPEN),
-            self.guarantees, self.most_cpus,
+            self.guarantees, self.most_cpus, now,
         )
         for turn in turns:
-            turn.pressing = turn.guaranteed or self.targets.pressing(turn.record, now)
+            turn.pressing = turn.guaranteed or turn.overdue > 0 or self.targets.pressing(turn.record, now)
         return turns
 
     def round(self) -> None:
@@ -351,10 +372,10 @@
         if not leads and not self.blocks:
             return
         self._note_own()
+        turns = self.turns()
         if leads:
-            self.leader.round(self.turns())
+            self.leader.round(turns)
         if self.blocks:
-            turns = self.turns()
             for block in self.blocks.values():
                 block.place(turns, self.headroom)
                 block.pack(self.headroom)
@@ -368,11 +389,13 @@
             except TimeoutError:
                 pass
             self._kicked.clear()
+            began = self._clock.mono()
             try:
                 self.round()
             except Exception:
                 log.exception("round failed")
-            await asyncio.sleep(ROUND_S)
+            took = self._clock.mono() - began
+            await asyncio.sleep(max(ROUND_S, took * (1 / ROUND_PART - 1)))
 
     async def _govern(self) -> None:
         """Leadership, grants, batons, and letting a block go that hears nobody."""
@@ -424,17 +447,29 @@
         """This controller's part of the state service's limits, by what everybody has to do."""
         members = set(self.session.members()) | {self.me}
         weights = dict.fromkeys(members, 1.0)
+        watching = dict.fromkeys(members, 1.0)
         leader = self.session.leader()
         if leader is not None and leader[0].node in weights:
             weights[NodeId(leader[0].node)] += LEADER_WEIGHT
+            watching[NodeId(leader[0].node)] += WATCH_WEIGHT
         for zone in self.zones:
             holder = self.session.holder(zone)
             if holder in weights:
                 weights[holder] += HOLDER_WEIGHT / len(self.zones)
-        share = weights[self.me] / sum(weights.values())
+                watching[holder] += WATCH_WEIGHT
         limits = self.platform.facts.state
-        self.client.requests.rate = limits.rps * share
+        self.client.requests.rate = limits.rps * weights[self.me] / sum(weights.values())
+        # Changes by need as everybody tells it, and a part for each in any case.
+        now = self._clock.mono()
+        needs = {
+            node: weight + (hint.changes if (hint := self._hint_of(node, now)) is not None else 0.0)
+            for node, weight in weights.items()
+        }
+        needs[self.me] = weights[self.me] + self.queue.need()
+        share = EVEN_PART / len(needs) + (1 - EVEN_PART) * needs[self.me] / sum(needs.values())
         self.client.changes.rate = limits.write_rps * share
+        watches = WATCH_PART * limits.rps * watching[self.me] / sum(watching.values())
+        self.mirror.gap_s = max(LEAST_GAP_S, 1 / watches)
 
     async def _learn_types(self) -> None:
         while True:
@@ -466,20 +501,26 @@
             hint = Hint(
                 self.me, self.platform.location, not self.client.down(1.0),
                 {zone: len(heard) for zone, heard in self._heard.items()},
-                self._machine_hints(), {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
-                now < self.session.shy_until,
+                [], {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
+                now < self.session.shy_until, self.queue.need(),
             )
-            body = encode(hint)
+            machines = self._machine_hints()
+            # In parts: the machines of a large block in one message were refused for its size.
+            bodies = [
+                encode(msgspec.structs.replace(hint, machines=machines[at:at + MACHINES_A_HINT]))
+                for at in range(0, max(1, len(machines)), MACHINES_A_HINT)
+            ]
             for peer in self.platform.peers:
-                self._spawn(self._hint(peer.peer_addr, body))
+                self._spawn(self._hint(peer.peer_addr, bodies))
             close_idle = getattr(self._http, "close_idle", None)
             if close_idle is not None:
                 close_idle()
             await asyncio.sleep(0.9 + 0.2 * self._chance.random())
 
-    async def _hint(self, addr: str, body: bytes) -> None:
+    async def _hint(self, addr: str, bodies: list[bytes]) -> None:
         with contextlib.suppress(NoAnswer):
-            await self._http.request(addr, "POST", HINT_PATH, body, 0.9)
+            for body in bodies:
+                await self._http.request(addr, "POST", HINT_PATH, body, 0.9)
 
     async def run(self) -> None:
         await asyncio.gather(
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -4,20 +4,19 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from msgspec import Struct
 
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import RANKS, Room, Turn, fill, first_rooms, occupy, room_for, suits
-from cloverplank.jobs.ranges import count, numbers
+from cloverplank.jobs.placing import RANKS, Room, Rooms, Turn, occupy, room_for, suits
+from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
-from cloverplank.net.messages import Http, NoAnswer, NotSent
+from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
 from cloverplank.state import keys
-from cloverplank.state.keys import MachineRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Urgency
 from cloverplank.wire.cloud import MachineType
@@ -26,15 +25,23 @@
 from cloverplank.wire.workers import ORDERS_PATH, DirectOrders, Order, Report, ReportAnswer
 
 from .machines import Health, Machine
+from .returning import Returning
 
 log = logging.getLogger("cloverplank.holder")
 
 MAX_ORDERS = 250  # keeps an answer well under 64 KiB
 MAX_MACHINES = 5000
+SAFE_RUNS = 40  # fit in any value
+BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
 MERGE_S = 0.25  # completions of one job are gathered for this long
 DIRECT_S = 2.0
 PROBE_S = 1.0
+MAX_PROBES = 48  # at once: more would take the sockets that orders need
+ASK_AGAIN_S = 5.0  # between two questions to a machine that did not answer the first
+LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
+UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
 PACK_PAUSE_S = 3.0  # between two looks for a machine to empty
+PACK_TRIES = 12  # machines whose replicas are tried to fit elsewhere in one look
 MOVE_PAUSE_S = 1.0  # between two replicas of one machine
 SETTLED_S = 35.0  # a replica younger than this is not moved
 UNRESOLVED_S = 3.0
@@ -44,6 +51,10 @@
     """A worker has seen a higher baton than ours."""
 
 
+class Unanswered(Exception):
+    """A report that gets no answer that renews a lease."""
+
+
 class Limits(Struct, frozen=True):
     report_s: float
     lease_s: float
@@ -62,16 +73,26 @@
     at: Mono
 
 
+class Victim(Struct, eq=False):
+    """A task that may be stopped to make room."""
+
+    ref: TaskRef
+    machine: Machine
+    record: JobRecord
+    guaranteed: bool
+
+
 class Block:
     """One zone's machines under one grant. Ends with the grant; a new grant makes a new Block."""
 
     def __init__(
         self, zone: Zone, baton: Baton, clock: Clock, book: Book, mirror: Mirror, queue: CommitQueue,
-        http: Http, limits: Limits, types: Callable[[], dict[str, MachineType]],
+        http: Http, limits: Limits, types: Callable[[], dict[str, MachineType]], returning: Returning,
         may_start: Callable[[], bool], kick: Callable[[], None],
     ) -> None:
         self.zone = zone
         self.baton = baton
+        self.own_batons = {baton}  # under which nobody but us gave orders
         self._clock = clock
         self._book = book
         self._mirror = mirror
@@ -79,6 +100,7 @@
         self._http = http
         self._limits = limits
         self._types = types
+        self._returning = returning
         self._may_start = may_start
         self._kick = kick
         self.since = clock.mono()
@@ -96,6 +118,7 @@
         self._packed_at = self.since
         self._short = False  # a replica lacked room in the last round
         self._jobs_tasks: set[asyncio.Task] = set()
+        self._probes = 0
 
     @property
     def conditions(self) -> list[Condition]:
@@ -123,23 +146,30 @@
         self._evict(MachineId(name), "released")
         self.machines.pop(MachineId(name), None)
 
-    def _returning(self, machine: MachineId) -> MachineRecord | None:
-        found = self._mirror.value(keys.machine(machine), MachineRecord)
-        return None if found is None else found[0]
-
     # -- reports
 
     def on_report(self, report: Report) -> ReportAnswer:
         now = self._clock.mono()
         if report.token > self.baton:
             self._depose(report)
-        self.last_report_at = now
         machine = self.machine(report.machine)
+        if not machine.fresh(report):
+            raise Unanswered("a late copy")
+        machine.reported = (report.session, report.seq)
+        self.last_report_at = now
         machine.addr, machine.type, machine.spot = report.addr or machine.addr, report.type, report.spot
         orders: list[Order] = []
         if self._learn(machine, report, in_answer=True):
             orders = self._orders(machine)
             machine.in_answer.update(self._refs(orders))
+        machine.unshown = 0 if report.token == self.baton else machine.unshown + 1
+        if machine.unshown > UNSHOWN_MOST:
+            # It hears none of our answers, or just some of them. Each might renew the lease of tasks
+            # that we know nothing of, so there are none until that lease has run out for certain.
+            held = machine.health is not Health.TAINTED and bool(self._book.on(machine.id))
+            if held or now < machine.gone_at(self._limits.lease_s, self.unfenced_gone_at):
+                raise Unanswered("our answers don't reach it")
+            machine.unshown = 1
         machine.answered_at = self._clock.mono()
         return ReportAnswer(self.baton, orders)
 
@@ -167,7 +197,8 @@
         notice = report.notice_s
         machine.ends_at = Mono(now + max(0.0, notice)) if notice is not None else None
         machine.heard_at = now
-        if report.token != self.baton:
+        shown, machine.token = machine.token, max(machine.token or 0, report.token)
+        if report.token not in self.own_batons:
             # What it shows may be older than orders of the former holder that are still on their way.
             machine.session, machine.seq = report.session, report.seq
             return False
@@ -175,10 +206,19 @@
             # Until now a former holder can have answered it.
             machine.fenced = True
             machine.answered_at = max(machine.answered_at, now)
-        machine.take(report, self.baton, now, in_answer)
+        machine.take(report, Baton(report.token), now, in_answer)
+        if not in_answer or (shown is not None and shown < report.token):
+            machine.prove()
         if machine.health is not Health.UP:
-            machine.move(Health.UP, "report")
-            self._kick()
+            if machine.proven:
+                machine.move(Health.UP, "report")
+                self._kick()
+            else:
+                machine.move(Health.DOUBTED, "a report after a silence or a new session")
+        elif not machine.proven:
+            machine.move(Health.DOUBTED, "a new session")
+        if machine.health is Health.DOUBTED:
+            self._probe(machine)
         self._outcomes(machine)
         return True
 
@@ -242,8 +282,7 @@
     def _placed(record: JobRecord, machine: MachineId) -> list[TaskRef]:
         return [
             TaskRef(record.id, index, run.attempt)  # type: ignore[arg-type]
-            for run in record.runs
-            if run.machine == machine
+            for run in record.runs_on.get(machine, ())
             for index in numbers(run.tasks)
         ]
 
@@ -262,7 +301,7 @@
                 orders.append(Order("stop", ref.name, ref.attempt, 0.0))
             elif ref in self.stops and task.state != "saving":
                 orders.append(Order("stop", ref.name, ref.attempt, self.stops[ref].grace_s))
-        if self._may_start():
+        if machine.health is Health.UP and self._may_start():
             for view in self._book.on(machine.id):
                 if view.record.phase is not Phase.OPEN or view.staged.phase is not Phase.OPEN:
                     continue
@@ -316,7 +355,8 @@
         finally:
             machine.pushing = False
 
-    async def _send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool:
+    async def _send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool | None:
+        """True: carried out. False: refused, or no answer. None: nothing can be said of the machine."""
         started = set(self._refs(orders))
         machine.in_orders |= started
         session = machine.session
@@ -330,7 +370,7 @@
             machine.push_failed_at = self._clock.mono()
             machine.in_orders -= started
             log.debug("orders to %s not sent: %s", machine.id, err)
-            return False
+            return None if isinstance(err, NoRoom) else False
         except (NoAnswer, BadMessage) as err:
             # They may be executed at any later time while session and baton stand.
             now = self._clock.mono()
@@ -375,7 +415,7 @@
     def _evict(self, machine: MachineId, why: str) -> None:
         views = [
             v for v in self._book.on(machine)
-            if any(r.machine == machine and r.zone == self.zone for r in v.staged.runs)
+            if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
         ]
         if views:
             log.info("eviction: machine %s %s: %d jobs: %s", machine, why, len(views),
@@ -389,18 +429,22 @@
         limits = self._limits
         for name in {m for m in self._book.by_machine if m not in self.machines}:
             # Placed by a former holder on a machine that nobody has told us of yet.
-            if any(run.zone == self.zone for view in self._book.on(name) for run in view.record.runs
-                   if run.machine == name):
+            if any(run.zone == self.zone for view in self._book.on(name)
+                   for run in view.record.runs_on.get(name, ())):
                 self.machine(name)
         if not self._may_start():
             return  # without the state service nothing that it judged could be committed
         for machine in list(self.machines.values()):
-            silent = now - max(machine.heard_at, self.since)
-            if machine.health is Health.UP and silent > limits.quiet_after_s:
+            heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
+            silent = now - max(heard_at, self.since)
+            if machine.health in (Health.UP, Health.DOUBTED) and silent > limits.quiet_after_s:
                 machine.move(Health.QUIET, f"silent for {silent:.1f} s")
+                machine.proven = False
             gone_at = machine.gone_at(limits.lease_s, self.unfenced_gone_at)
             if machine.health is not Health.TAINTED and silent >= limits.taint_after_s and now >= gone_at:
                 self._taint(machine, silent)
+            if machine.deaf():
+                self._evict_deaf(machine)
             if machine.health is Health.TAINTED:
                 self._evict(machine.id, "tainted")
                 machine.in_answer.clear()
@@ -409,13 +453,22 @@
                 machine.tasks.clear()
                 if silent > 600 and not self._book.on(machine.id):
                     del self.machines[machine.id]
-            elif silent >= limits.release_after_s > 0 and self._book.on(machine.id):
+            elif machine.health is Health.DOUBTED or (silent >= limits.release_after_s > 0 and (
+                machine.health is Health.QUIET or self._book.on(machine.id)
+            )):
                 self._probe(machine)
             self._check_unresolved(machine, now)
             self._check_notice(machine, now)
         for ref in [r for r, stop in self.stops.items() if now - stop.at > 60 or self._book.get(r.job) is None]:
             del self.stops[ref]
 
+    def _evict_deaf(self, machine: Machine) -> None:
+        """It is heard and can't hear, and its newest report shows that its tasks are gone: no start can
+        be on its way to it any more, so they are placed elsewhere."""
+        refs = [ref for view in self._book.on(machine.id) for ref in self._placed(view.record, machine.id)]
+        if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
+            self._evict(machine.id, "deaf")
+
     def _taint(self, machine: Machine, silent: float) -> None:
         if machine.health is Health.UNHEARD and not self._book.on(machine.id):
             return  # it never came up, and nothing is on it
@@ -426,31 +479,43 @@
     def _probe(self, machine: Machine) -> None:
         """Asks a silent machine directly; without an answer it is lost, and its release proves its tasks
         gone sooner than its lease does."""
-        if machine.probing or machine.pushing or not machine.addr or machine.lost_since is not None:
+        if machine.probing or machine.pushing or not machine.addr:
+            return
+        if machine.lost_since is not None and self._clock.mono() - machine.lost_since < ASK_AGAIN_S:
+            return
+        if self._probes >= MAX_PROBES:
             return
         machine.probing = True
+        self._probes += 1
         task = asyncio.ensure_future(self._ask(machine))
         self._jobs_tasks.add(task)
         task.add_done_callback(self._jobs_tasks.discard)
 
     async def _ask(self, machine: Machine) -> None:
         asked = self._clock.mono()
+        doubted = machine.health is Health.DOUBTED
         try:
             heard = await self._send(machine, [], PROBE_S)
         except Deposed:
             return
         finally:
             machine.probing = False
-        if heard or machine.heard_at > asked or self.last_report_at < asked - self._limits.report_s:
-            return  # it is there, or it may be us who can't hear
-        lost = sum(1 for m in self.machines.values() if m.lost_since is not None)
+            self._probes -= 1
+        now = self._clock.mono()
+        if heard or heard is None or machine.proven or now - asked > PROBE_S + LATE_S:
+            return  # it is there, or it is we who could not ask
+        if self.last_report_at < asked - self._limits.report_s or (machine.heard_at > asked and not doubted):
+            return  # it may be us who can't hear
+        lost = sum(1 for m in self.machines.values() if m.lost_since is not None and m is not machine)
         if lost < max(2, 0.6 * len(self.machines)):
-            log.info("machine %s: silent for %.1f s and no answer: lost", machine.id, asked - machine.heard_at)
-            machine.lost_since = self._clock.mono()
+            if machine.lost_since is None:
+                log.info("machine %s: %s for %.1f s and no answer: lost", machine.id,
+                         "heard, but deaf" if doubted else "silent", asked - machine.heard_at)
+            machine.lost_since = now
 
     def _check_unresolved(self, machine: Machine, now: Mono) -> None:
-        for ref, (_, _, since) in machine.unresolved.items():
-            if now - since > UNRESOLVED_S and machine.heard_at > since:
+        for ref, (_, baton, since) in machine.unresolved.items():
+            if baton == self.baton and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
                 # It reports, so its lease won't end the matter: a new baton does.
                 if not self.bump_wanted:
                     log.info("block %s: orders for %s on %s may come late: new baton wanted",
@@ -460,8 +525,7 @@
 
     def _check_notice(self, machine: Machine, now: Mono) -> None:
         """The cloud takes it away: tasks that can save do, in time; the others go on while they can."""
-        returning = self._returning(machine.id)
-        faulty = returning is not None and returning.phase == "drain" and returning.why != "idle"
+        faulty = self._returning.why(machine.id) not in (None, "idle")
         if machine.ends_at is None and not faulty:
             return
         left = 0.0 if machine.ends_at is None else machine.ends_at - now
@@ -481,7 +545,7 @@
         log.info("stop: task %s try %d on %s: %s", ref.name, ref.attempt, machine.id, why)
         self.push(machine)
 
-    def rooms(self) -> list[Room]:
+    def rooms(self) -> Rooms:
         """What is free on machines that may take new tasks."""
         result = []
         types = self._types()
@@ -489,10 +553,10 @@
             kind = types.get(machine.type)
             if kind is None or machine.health is not Health.UP or machine.ends_at is not None:
                 continue
-            if self._returning(machine.id) is not None or self.faulty(machine) or machine.id == self.packing:
+            if machine.id in self._returning or self.faulty(machine) or machine.id == self.packing:
                 continue
-            result.append(room_of(machine.id, self.zone, kind, machine.spot, set(machine.images), self._book))
-        return result
+            result.append(room_of(machine.id, self.zone, kind, machine.spot, machine.images, self._book))
+        return Rooms(result)
 
     def place(self, turns: list[Turn], headroom: Headroom) -> None:
         """Places what is allotted to this zone, in order."""
@@ -503,10 +567,11 @@
         spare = headroom.reserve(rooms, self.zone, self._clock.wall())
         waiting: list[tuple[Turn, int]] = []
         for turn in turns:
-            record = turn.record
-            view = self._book.get(record.id)
-            if view is None or record.phase is not Phase.OPEN:
+            view = self._book.get(turn.record.id)
+            if view is None or view.staged.phase is not Phase.OPEN:
                 continue
+            # As staged by now: the leader may have allotted it in this same round.
+            record = turn.record = view.staged
             most = min(record.allot.get(self.zone, 0) - record.placed(self.zone), record.missing_count())
             if most <= 0 or self.back_off.get(record.id, 0.0) > now:
                 continue
@@ -515,26 +580,26 @@
             if record.spec.gang and (record.runs or most < record.missing_count()):
                 self._gather(view)  # what is left of it stops, then it starts again whole
                 continue
-            if len(record.runs) > 40 and json_size(record) > self._limits.value_bytes * 0.8:
+            most_runs = self._runs_left(record)
+            if most_runs <= 0:
                 continue  # the record is as large as it may get; it goes on as tasks end
             bad = self.errors.get(record.id, {})
+            bad = self.errors.get(record.id, {})
             ready = headroom.serves(record.spec)
-            usable = rooms if ready else spare
-            if 0 < len(bad) < 3:
-                usable = [r for r in usable if r.machine not in bad]
-            if record.spec.gang and sum(
-                room_for(record.spec, r) for r in first_rooms(record.spec, usable, turn.pressing)
-            ) < most:
+            usable, others = (rooms, spare) if ready else (spare, rooms)
+            if record.spec.gang and usable.free(record.spec, self.zone, turn.pressing) < most:
                 waiting.append((turn, most))
                 continue
-            placements = fill(
-                record, self.zone, usable, most if record.spec.gang else min(most, 400), turn.pressing
+            allowed = (lambda room, bad=bad: room.machine not in bad) if 0 < len(bad) < 3 else None
+            placements = usable.fill(
+                record, self.zone, most if record.spec.gang else min(most, 400), turn.pressing, allowed
             )
+            if len(placements) > most_runs and not record.spec.gang:
+                # The fullest pieces: a record over the limit would be refused whole, again and again.
+                placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
             got = sum(p.count for p in placements)
             for placement in placements:
-                for room in spare if ready else rooms:
-                    if room.machine == placement.machine:
-                        occupy(room, record.spec, placement.count)
+                occupy(others.by_name[placement.machine], record.spec, placement.count)
             if placements:
                 log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
                 self._change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
@@ -543,6 +608,12 @@
         self._short = any(turn.record.spec.service for turn, _ in waiting)
         self._preempt(waiting, turns)
 
+    def _runs_left(self, record: JobRecord) -> int:
+        """On how many more machines tasks may be placed before the record is as large as a value may be."""
+        if len(record.runs) + record.missing_count() <= SAFE_RUNS:
+            return SAFE_RUNS
+        return int((self._limits.value_bytes * 0.85 - json_size(record)) / BYTES_A_RUN)
+
     # -- packing
 
     def pack(self, headroom: Headroom) -> None:
@@ -590,13 +661,16 @@
             return None
         return views
 
-    def _fits_elsewhere(self, views: list[JobView], machine: Machine, rooms: list[Room]) -> bool:
-        targets = [r for r in rooms if r.machine != machine.id and not r.empty]
+    def _fits_elsewhere(self, views: list[JobView], machine: Machine, rooms: Rooms) -> bool:
+        """Takes the room it counts on."""
         for view in views:
             spec = view.record.spec
-            tasks = len(self._placed(view.staged, machine.id))
-            with_image = [r for r in targets if spec.image in r.images]
-            if sum(p.count for p in fill(view.record, self.zone, with_image, tasks)) < tasks:
+            tasks = view.staged.placed_on(machine.id)
+            found = rooms.fill(
+                view.record, self.zone, tasks,
+                allowed=lambda r, image=spec.image: r.machine != machine.id and not r.empty and image in r.images,
+            )
+            if sum(p.count for p in found) < tasks:
                 return False
         return True
 
@@ -605,19 +679,25 @@
         now = self._clock.mono()
         types = self._types()
         found = []
-        for room in self.rooms():
+        all_rooms = self.rooms()
+        for room in all_rooms:
             kind = types[room.type]
+            used = kind.cpus - room.cpus
             if not room.empty:
-                used = kind.cpus - room.cpus
                 dear = (kind.price if not room.spot else kind.spot_price or kind.price) / max(1.0, kind.cpus)
                 found.append((used / kind.cpus > 0.5, -dear, used, room.machine))
+        spare: Rooms | None = None
+        tries = 0
         for _, _, _, name in sorted(found):
             machine = self.machines[name]
             views = self._movable(machine, now)
             if views is None or not all(self._settled(v) for v in views):
                 continue
-            rooms = [r for r in self.rooms() if r.machine != name]
-            if self._fits_elsewhere(views, machine, headroom.reserve(rooms, self.zone, self._clock.wall())):
+            tries += 1
+            if tries > PACK_TRIES:
+                break
+            spare = spare or headroom.reserve(all_rooms, self.zone, self._clock.wall())
+            if self._fits_elsewhere(views, machine, spare.copy()):
                 return name
         return None
 
@@ -646,10 +726,14 @@
                 view = self._book.get(ref.job)
                 if stop is not None and view is not None and now - stop.at < 15:
                     self._add(coming[machine.id], view.record.spec, 1)
-        rooms = {room.machine: room for room in self.rooms()}
+        rooms = self.rooms().by_name
+        victims = self._all_victims(guaranteed)
+        lowest = max((RANKS[v.record.spec.rank] for found in victims.values() for v in found), default=-1)
+        beyond = {v.record.spec.team for found in victims.values() for v in found if not v.guaranteed}
         for turn, tasks in waiting:
             spec = turn.record.spec
-            if tasks <= 0 or (spec.rank == "idle" and not turn.guaranteed):
+            # Under a backlog most have nobody to take room from: no look at hundreds of machines for them.
+            if tasks <= 0 or not (lowest > RANKS[spec.rank] or (turn.guaranteed and beyond - {spec.team})):
                 continue
             for machine in self.machines.values():
                 room = rooms.get(machine.id)
@@ -657,7 +741,9 @@
                     break
                 if room is None or not suits(spec, machine.type, self.zone, machine.spot):
                     continue
-                tasks -= self._make_room(turn, tasks, machine, room, coming[machine.id], guaranteed)
+                found = victims.get(machine.id, [])
+                if found or any(coming[machine.id]):
+                    tasks -= self._make_room(turn, tasks, room, coming[machine.id], found)
 
     @staticmethod
     def _add(amounts: list[float], spec: object, sign: int) -> None:
@@ -665,29 +751,28 @@
         amounts[1] += sign * spec.gpus  # type: ignore[attr-defined]
         amounts[2] += sign * spec.memory_gb  # type: ignore[attr-defined]
 
-    def _victims(self, turn: Turn, machine: Machine, guaranteed: dict[JobId, bool]) -> list[tuple[TaskRef, JobRecord]]:
-        rank = RANKS[turn.record.spec.rank]
-        found = []
-        for ref, task in machine.tasks.items():
-            view = self._book.get(ref.job)
-            if view is None or ref in self.stops or task.state not in ("running", "pulling"):
-                continue
-            record = view.record
-            if record.run_of(ref, machine.id) is None or record.phase is not Phase.OPEN:
-                continue
-            lower = RANKS[record.spec.rank] > rank
-            beyond = (
-                turn.guaranteed and not guaranteed.get(ref.job, False)
-                and record.spec.team != turn.record.spec.team
-            )
-            # Replicas are not stopped for the sake of arrays: a guarantee is met from them last, by renting.
-            if (lower and not record.spec.service) or (beyond and not record.spec.service):
-                found.append((guaranteed.get(ref.job, False), -RANKS[record.spec.rank], -record.at, ref, record))
-        found.sort(key=lambda f: f[:4])
-        return [(ref, record) for _, _, _, ref, record in found]
-
-    def _make_room(self, turn: Turn, tasks: int, machine: Machine, room: Room, coming: list[float],
-                   guaranteed: dict[JobId, bool]) -> int:
+    def _all_victims(self, guaranteed: dict[JobId, bool]) -> dict[MachineId, list[Victim]]:
+        """Tasks that may be stopped for somebody, by machine, in the order in which they are.
+
+        Replicas are not stopped for the sake of arrays: a guarantee is met from them last, by renting.
+        """
+        result: dict[MachineId, list[Victim]] = {}
+        for machine in self.machines.values():
+            found = []
+            for ref, task in machine.tasks.items():
+                view = self._book.get(ref.job)
+                if view is None or ref in self.stops or task.state not in ("running", "pulling"):
+                    continue
+                record = view.record
+                if record.spec.service or record.phase is not Phase.OPEN or record.run_of(ref, machine.id) is None:
+                    continue
+                found.append(Victim(ref, machine, record, guaranteed.get(ref.job, False)))
+            if found:
+                found.sort(key=lambda v: (v.guaranteed, -RANKS[v.record.spec.rank], -v.record.at, v.ref))
+                result[machine.id] = found
+        return result
+
+    def _make_room(self, turn: Turn, tasks: int, room: Room, coming: list[float], victims: list[Victim]) -> int:
         spec = turn.record.spec
 
         def fits(extra: list[float]) -> int:
@@ -695,20 +780,25 @@
                          room.gpus + extra[1], room.memory_gb + extra[2])
             return min(tasks, room_for(spec, after))
 
-        made = fits(coming)
-        chosen: list[tuple[TaskRef, JobRecord]] = []
+        chosen: list[Victim] = []
         extra = list(coming)
-        best, best_chosen, best_extra = made, 0, list(coming)
-        for victim in self._victims(turn, machine, guaranteed):
+        best, best_chosen, best_extra = fits(coming), 0, list(coming)
+        for victim in victims:
             if best >= tasks:
                 break
+            other = victim.record.spec
+            lower = RANKS[other.rank] > RANKS[spec.rank]
+            beyond = turn.guaranteed and not victim.guaranteed and other.team != spec.team
+            if victim.ref in self.stops or not (lower or beyond):
+                continue
             chosen.append(victim)
-            self._add(extra, victim[1].spec, 1)
+            self._add(extra, other, 1)
             if fits(extra) > best:
                 best, best_chosen, best_extra = fits(extra), len(chosen), list(extra)
-        for ref, record in chosen[:best_chosen]:
-            can_save = record.spec.checkpoint_s > 0
-            self.stop(ref, machine, record.spec.save_s + 1.0 if can_save else 0.0, f"room for {turn.record.id}")
+        for victim in chosen[:best_chosen]:
+            other = victim.record.spec
+            self.stop(victim.ref, victim.machine, other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0,
+                      f"room for {turn.record.id}")
         if best:
             coming[:] = best_extra
             self._add(coming, spec, -best)
@@ -750,6 +840,7 @@
         """Our own grant under a new stamp: nobody else answered in between."""
         log.info("block %s: baton %d -> %d", self.zone, self.baton, baton)
         self.baton = baton
+        self.own_batons.add(baton)
         self.bump_wanted = False
 
     def close(self) -> None:
@@ -758,17 +849,12 @@
 
 
 def room_of(
-    name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: set[str], book: Book, real: bool = True
+    name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: Collection[str], book: Book, real: bool = True
 ) -> Room:
-    """A machine's size less all tasks that are on it as committed or as staged."""
-    room = Room(name, zone, kind.name, spot, kind.cpus, kind.gpus, kind.memory_gb, images, True, real)
-    for view in book.on(name):
-        spec = view.record.spec
-        tasks = sum(count(run.tasks) for run in view.staged.runs if run.machine == name)
-        if tasks:
-            room.cpus -= spec.cpus * tasks
-            room.gpus -= spec.gpus * tasks
-            room.memory_gb -= spec.memory_gb * tasks
-            room.empty = False
-            room.images.add(spec.image)
-    return room
+    """A machine's size less all tasks that are on it as staged."""
+    load = book.load(name)
+    known = load.images.union(images) if images else load.images
+    return Room(
+        name, zone, kind.name, spot, kind.cpus - load.cpus, kind.gpus - load.gpus, kind.memory_gb - load.memory_gb,
+        known, not load.tasks, real,
+    )
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -12,18 +12,18 @@
 from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit, Shortage
-from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, Room, Targets, Turn
+from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import Phase
 from cloverplank.kinds import Clock, MachineId, Mono, NodeId, Stamp, Zone
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform
 from cloverplank.state import keys
 from cloverplank.state.client import Lost, Refused, Unknown
-from cloverplank.state.keys import BlockRecord, HireRecord, MachineRecord, NodeRecord
+from cloverplank.state.keys import BlockRecord, HireRecord, NodeRecord, ReturnRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session
-from cloverplank.wire.cloud import ListedMachine, MachineType, RentRequest
+from cloverplank.wire.cloud import MAX_RELEASE, ListedMachine, MachineType, RentRequest
 from cloverplank.wire.peers import Hint
 from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
 
@@ -31,13 +31,15 @@
 from .cloud import Cloud, CloudDown, NoCapacity
 from .holder import room_of
 from .renting import Kind
+from .returning import Returning
 from .roster import Known, Roster
 
 log = logging.getLogger("cloverplank.leader")
 
 LEAST_PAID_S = 58.0  # a machine costs a minute at the least, so one younger is kept
 DRAIN_S = 0.5  # a placement on its way when a drain is committed shows within this time
-GONE_KEPT_S = 90.0
+MAX_RETURNS = 48  # begun in one look
+GONE_KEPT_S = 300.0  # late copies of its reports must not bring a machine back
 
 
 class Leader:
@@ -47,6 +49,7 @@
         self, platform: Platform, operator: Operator, clock: Clock, session: Session, mirror: Mirror,
         queue: CommitQueue, roster: Roster, cloud: Cloud, headroom: Headroom,
         types: Callable[[], dict[str, MachineType]], peers: dict[NodeId, tuple[Hint, Mono]], targets: Targets,
+        returning: Returning,
     ) -> None:
         self._platform = platform
         self._operator = operator
@@ -63,6 +66,9 @@
         self._zones = {Zone(z): operator.weight(z) for z in platform.facts.zones}
         self._limits = {t.name: Limit(t.cpus_max, t.gpus_max) for t in platform.facts.teams}
         self._targets = targets
+        self._returning = returning
+        self._return_seq = 0
+        self._unrecorded: set[MachineId] = set()  # released, and not yet committed as gone
         self.shortages: list[Shortage] = []
         self.needed: set[str] = set()
         self._refused: dict[Kind, Mono] = {}
@@ -148,7 +154,7 @@
         # otherwise fill whatever is rented for the headroom, and it would be rented for ever.
         kept = False
         for turn in turns:
-            if not kept and not turn.guaranteed and not self._headroom.serves(turn.record.spec):
+            if not kept and not turn.guaranteed and not turn.overdue and not self._headroom.serves(turn.record.spec):
                 kept = True
                 shortages += self._keep_room(rooms, rentable)
             view = self._book.jobs[turn.record.id]
@@ -163,13 +169,13 @@
         self.shortages = shortages
         self.needed = {room.machine for room in rooms if room.used}
 
-    def _keep_room(self, rooms: list[Room], rentable: Callable[[Zone], bool]) -> list[Shortage]:
+    def _keep_room(self, rooms: Rooms, rentable: Callable[[Zone], bool]) -> list[Shortage]:
         shortages: list[Shortage] = []
         for turn in self._headroom.turns(self._clock.wall()):
             shortages += team_limits.split(turn, turn.record.spec.tasks, self._zones, rooms, rentable)[1]
         return shortages
 
-    def rooms(self) -> list[Room]:
+    def rooms(self) -> Rooms:
         types = self._types()
         result: list[Room] = []
         for known in self._roster.known.values():
@@ -177,18 +183,18 @@
             if kind is None or not self._usable(known):
                 continue
             up = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
-            result.append(room_of(known.id, known.zone, kind, known.spot, set(known.images), self._book, up))
+            result.append(room_of(known.id, known.zone, kind, known.spot, known.images, self._book, up))
         for name, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
             kind = types.get(hire.type)
             if kind is None or hire.machines:
                 continue
             for number in range(hire.count):
-                result.append(room_of(MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, set(),
+                result.append(room_of(MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, frozenset(),
                                       self._book, False))
-        return result
+        return Rooms(result)
 
     def _usable(self, known: Known) -> bool:
-        if self._mirror.stamp(keys.machine(known.id)) or known.ends or known.state == "failed":
+        if known.id in self._returning or known.ends or known.state == "failed":
             return False
         return known.health in ("", "up", "unheard", "quiet")
 
@@ -250,9 +256,7 @@
             capacity[known.zone][boots] += kind.cpus
             for view in self._book.on(known.id):
                 spec = view.staged.spec
-                cpus = spec.cpus * sum(
-                    records.ranges.count(run.tasks) for run in view.staged.runs if run.machine == known.id
-                )
+                cpus = spec.cpus * view.staged.placed_on(known.id)
                 if spec.service:
                     capacity[known.zone][boots] -= cpus
                 else:
@@ -315,6 +319,14 @@
         else:
             await self._write([Delete(keys.hire(name))])
 
+    async def _write_all(self, changes: list[Put | Delete]) -> bool:
+        """In as many commits as it takes."""
+        size = max(1, self._platform.facts.state.txn_ops)
+        for start in range(0, len(changes), size):
+            if not await self._write(changes[start:start + size]):
+                return False
+        return True
+
     async def _write(self, changes: list) -> bool:
         stamp = self._session.leads()
         if stamp is None:
@@ -355,7 +367,7 @@
             boot_s = kind.boot_s if kind else 60.0
             age = now - known.since
             silent = math.inf if known.heard_at is None else now - known.heard_at
-            if self._mirror.stamp(keys.machine(known.id)):
+            if known.id in self._returning:
                 continue
             idle_s = self._operator.idle_release_spot_s if known.spot else self._operator.idle_release_s
             if known.state == "failed":
@@ -376,40 +388,59 @@
     async def give_back(self) -> None:
         if self._session.leads() is None:
             return
+        await self._record_gone()
         # What its holder calls lost is released at once: the answer proves its tasks gone.
         lost = [known.id for known in self._roster.known.values() if known.health == "lost"]
         if lost:
             log.info("return: lost: %s", " ".join(lost))
-            await self._release(lost[:50])
+            await self._release(lost[:MAX_RELEASE])
         if self._clock.mono() - self._led_since < 6.0:
             return  # a new leader first hears from list, holders and workers
-        now = self._clock.mono()
-        found = self.returns()[:8]
+        found = self.returns()[:MAX_RETURNS]
+        for known, why in found:
+            log.info("return: machine %s: %s", known.id, why)
         if found:
-            for known, why in found:
-                log.info("return: machine %s: %s", known.id, why)
-            await self._write([
-                Put(keys.machine(known.id), MachineRecord("drain", why, self._clock.wall())) for known, why in found
-            ])
-        ready: list[str] = []
-        for name, (record, _) in self._mirror.under(keys.MACHINES, MachineRecord).items():
-            if record.phase != "drain":
-                if self._clock.wall() - record.at > GONE_KEPT_S * 1000:
-                    await self._write([Delete(keys.machine(name))])
-                continue
-            since = self._draining.setdefault(name, now)
-            busy = bool(self._book.on(MachineId(name)))
-            if record.why == "idle" and busy:
-                # Placed in the same moment: it stays.
-                self._draining.pop(name, None)
-                await self._write([Delete(keys.machine(name))])
-            elif now - since >= DRAIN_S and (not busy or record.why in ("failed", "silent", "never up")
-                                             or now - since > 40):
-                ready.append(name)
+            await self._write([Put(self._return_key(), ReturnRecord(
+                self._clock.wall(), {known.id: why for known, why in found}
+            ))])
+        ready = self._drained()
+        await self._write_all(self._left_over())
         if ready:
-            await self._release(ready[:50])
+            await self._release(ready[:MAX_RELEASE])
 
-    async def _release(self, names: list[str]) -> None:
+    def _return_key(self) -> str:
+        self._return_seq += 1
+        return keys.returns(f"{self._session.leads()}-{self._return_seq}")
+
+    def _drained(self) -> list[MachineId]:
+        now = self._clock.mono()
+        ready = []
+        for batch in self._returning.batches().values():
+            for name, why in batch.draining.items():
+                since = self._draining.setdefault(name, now)
+                busy = bool(self._book.on(MachineId(name)))
+                if now - since >= DRAIN_S and (
+                    not busy or why in ("failed", "silent", "never up") or now - since > 40
+                ) and not (busy and why == "idle"):
+                    ready.append(MachineId(name))
+        return ready
+
+    def _left_over(self) -> list[Put | Delete]:
+        """Batches without what is busy again, and those that nobody needs any more."""
+        changes: list[Put | Delete] = []
+        for key, batch in self._returning.batches().items():
+            # Placed in the same moment: it stays.
+            stays = {n for n, why in batch.draining.items() if why == "idle" and self._book.on(MachineId(n))}
+            for name in stays:
+                self._draining.pop(name, None)
+            left = {name: why for name, why in batch.draining.items() if name not in stays}
+            if not left and self._clock.wall() - batch.at > GONE_KEPT_S * 1000:
+                changes.append(Delete(key))
+            elif stays:
+                changes.append(Put(key, ReturnRecord(batch.at, left, batch.gone)))
+        return changes[:MAX_RETURNS]
+
+    async def _release(self, names: list[MachineId]) -> None:
         try:
             await self._cloud.release(names)
         except CloudDown as err:
@@ -419,12 +450,27 @@
         for name in names:
             self._roster.release(name)
             self._draining.pop(name, None)
-        size = max(1, self._platform.facts.state.txn_ops)
-        for start in range(0, len(names), size):
-            await self._write([
-                Put(keys.machine(name), MachineRecord("gone", "released", self._clock.wall()))
-                for name in names[start:start + size]
-            ])
+        self._unrecorded.update(names)
+        await self._record_gone()
+
+    async def _record_gone(self) -> None:
+        """Tells everybody what is gone; again, where that could not be committed."""
+        if not self._unrecorded:
+            return
+        now = self._clock.wall()
+        changes: list[Put | Delete] = []
+        left = set(self._unrecorded)
+        for key, batch in self._returning.batches().items():
+            gone = left & batch.draining.keys()
+            if gone:
+                left -= gone
+                draining = {name: why for name, why in batch.draining.items() if name not in gone}
+                changes.append(Put(key, ReturnRecord(now, draining, sorted([*batch.gone, *gone]))))
+        if left:
+            changes.append(Put(self._return_key(), ReturnRecord(now, {}, sorted(left))))
+        written = set(self._unrecorded)
+        if await self._write_all(changes):
+            self._unrecorded -= written
 
     async def run(self) -> None:
         turn = 0
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -16,6 +16,7 @@
 class Health(Enum):
     UNHEARD = "unheard"  # no report that has our baton yet
     UP = "up"
+    DOUBTED = "doubted"  # it reports, but nothing shows that answers and commands reach it: no new tasks
     QUIET = "quiet"  # reports are missing: no new tasks
     TAINTED = "tainted"  # silent past the threshold and its lease run out: evicted
 
@@ -31,6 +32,10 @@
     fenced: bool = False  # the worker has our baton: nobody else's answers count for it any more
     session: int = 0
     seq: int = 0
+    reported: tuple[int, int] = (0, 0)  # session and number of the newest report, answers to orders apart
+    token: int | None = None  # the highest baton that it has shown
+    proven: bool = False  # answers or commands have reached it in this session, since it last was silent
+    unshown: int = 0  # reports answered since one showed our baton
     heard_at: Mono = Mono(-1e9)
     answered_at: Mono = Mono(-1e9)  # our last answer that can have renewed its lease
     gone_until: Mono | None = None
@@ -58,12 +63,18 @@
     def newer(self, report: Report) -> bool:
         return (report.session, report.seq) > (self.session, self.seq)
 
+    def fresh(self, report: Report) -> bool:
+        """No copy of a report that we had before, nor one that a later report has overtaken. A worker
+        has one report in flight at a time, so nobody waits for the answer to any other."""
+        return (report.session, report.seq) > self.reported
+
     def take(self, report: Report, baton: Baton, now: Mono, in_answer: bool) -> None:
-        """A newer report that carries our baton."""
+        """A newer report that carries our baton: `baton`, the one that it shows."""
         if report.session != self.session:
             # Orders of a former session are not executed any more.
             self.unresolved.clear()
             self.in_answer.clear()
+            self.proven = False
         elif in_answer:
             # One report is in flight at a time: the answer to the last one was handled or dropped.
             self.in_answer.clear()
@@ -79,17 +90,25 @@
         self.first_seen = {ref: self.first_seen.get(ref, now) for ref in self.tasks}
         self.seen_running &= self.tasks.keys()
         self.heard_at = now
+
+    def prove(self) -> None:
+        """Two-way contact. A report alone proves none: it may be a late copy, or the machine may be one
+        that is heard and can't hear."""
+        self.proven = True
         self.lost_since = None
 
+    def deaf(self) -> bool:
+        """It is heard, and a direct question got no answer."""
+        return self.health is Health.DOUBTED and self.lost_since is not None
+
     def may_start_late(self, task: TaskRef) -> bool:
         """A start for it may still be executed although the worker does not show it."""
         return task in self.in_answer or task in self.in_orders or task in self.unresolved
 
     def gone_at(self, lease_s: float, unfenced_gone_at: Mono) -> Mono:
         """When its tasks are gone for certain if it stays silent."""
-        if not self.fenced:
-            return unfenced_gone_at
-        return Mono(self.answered_at + lease_s * (1 + 2 * DRIFT) + 0.2)
+        answered = Mono(self.answered_at + lease_s * (1 + 2 * DRIFT) + 0.2)
+        return answered if self.fenced else max(answered, unfenced_gone_at)
 
     def remember_image(self, image: str) -> None:
         self.images.pop(image, None)
--- /dev/null
+++ b/src/cloverplank/fleet/returning.py
@@ -0,0 +1,48 @@
+"""Machines that are given back, as the state service has it: by machine, kept by the mirror's news."""
+
+from __future__ import annotations
+
+from cloverplank.kinds import MachineId
+from cloverplank.state import keys
+from cloverplank.state.keys import ReturnRecord
+from cloverplank.state.mirror import Mirror
+
+
+class Returning:
+    """One key names many machines: with a key for each, every return cost three changes."""
+
+    def __init__(self, mirror: Mirror) -> None:
+        self._mirror = mirror
+        self._by_key: dict[str, ReturnRecord] = {}
+        self._draining: dict[MachineId, str] = {}
+        self._gone: set[MachineId] = set()
+
+    def __contains__(self, machine: MachineId) -> bool:
+        return machine in self._draining or machine in self._gone
+
+    def why(self, machine: MachineId) -> str | None:
+        """Why tasks should leave it; None where it stays, or is gone."""
+        return self._draining.get(machine)
+
+    def news(self, key: str) -> list[MachineId]:
+        """A key has changed: the machines that are gone since."""
+        found = self._mirror.value(key, ReturnRecord)
+        before = self._by_key.pop(key, None)
+        if before is not None:
+            for name in before.draining:
+                self._draining.pop(MachineId(name), None)
+            self._gone.difference_update(MachineId(name) for name in before.gone)
+        if found is None:
+            return []
+        record = self._by_key[key] = found[0]
+        self._draining.update({MachineId(name): why for name, why in record.draining.items()})
+        gone = {MachineId(name) for name in record.gone}
+        self._gone |= gone
+        return sorted(gone.difference(before.gone if before is not None else ()))
+
+    def batches(self) -> dict[str, ReturnRecord]:
+        return dict(self._by_key)
+
+
+def is_return(key: str) -> bool:
+    return key.startswith(keys.RETURNS)
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/book.py
@@ -50,10 +50,25 @@
         return max(self.record.held(), self.staged.held())
 
 
+class Load(Struct, frozen=True):
+    """What the staged records put on one machine."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    tasks: int = 0
+    images: frozenset[str] = frozenset()
+
+
+NOTHING = Load()
+
+
 class Book:
     def __init__(self) -> None:
         self.jobs: dict[JobId, JobView] = {}
         self.by_machine: dict[MachineId, set[JobId]] = {}
+        # Rounds ask for every machine; only those that a change touched are counted again.
+        self._loads: dict[MachineId, Load] = {}
         self.changed: Callable[[JobView | None, JobId], None] = lambda view, job: None
 
     def __iter__(self) -> Iterable[JobView]:
@@ -66,9 +81,29 @@
         """Jobs that have tasks on the machine, as staged or as committed."""
         return [self.jobs[job] for job in self.by_machine.get(machine, ()) if job in self.jobs]
 
+    def load(self, machine: MachineId) -> Load:
+        found = self._loads.get(machine)
+        if found is None:
+            cpus = gpus = memory_gb = 0.0
+            total = 0
+            images = set()
+            for view in self.on(machine):
+                spec, tasks = view.record.spec, view.staged.placed_on(machine)
+                if tasks:
+                    cpus += spec.cpus * tasks
+                    gpus += spec.gpus * tasks
+                    memory_gb += spec.memory_gb * tasks
+                    total += tasks
+                    images.add(spec.image)
+            if not total and machine not in self.by_machine:
+                return NOTHING
+            found = self._loads[machine] = Load(cpus, gpus, memory_gb, total, frozenset(images))
+        return found
+
     def _index(self, view: JobView, machines: set[str], add: bool) -> None:
         for name in machines:
             machine = MachineId(name)
+            self._loads.pop(machine, None)
             if add:
                 self.by_machine.setdefault(machine, set()).add(view.id)
             elif machine in self.by_machine:
@@ -78,9 +113,9 @@
 
     @staticmethod
     def _machines(view: JobView) -> set[str]:
-        found = {run.machine for run in view.record.runs}
+        found = set(view.record.runs_on)
         if view.staged is not view.record:
-            found |= {run.machine for run in view.staged.runs}
+            found |= view.staged.runs_on.keys()
         return found
 
     def _restage(self, view: JobView) -> None:
@@ -115,10 +150,19 @@
         self.changed(None, job)
 
     def stage(self, view: JobView, pending: Pending) -> None:
-        before = self._machines(view)
         view.pending.append(pending)
-        view.staged = pending.change(view.staged) or view.staged
-        self._index(view, self._machines(view) - before, True)
+        after = pending.change(view.staged) or view.staged
+        if after.runs is view.staged.runs:
+            view.staged = after
+            return
+        # What was staged before and is not any more leaves the index, too: a machine would count as busy for ever.
+        old, new, kept = view.staged.runs_on, after.runs_on, view.record.runs_on
+        view.staged = after
+        self._index(view, {m for m in old if m not in new and m not in kept}, False)
+        self._index(view, {m for m in new if new[m] != old.get(m)}, True)
+        for machine in old:
+            if machine not in new:
+                self._loads.pop(MachineId(machine), None)
 
     def unstage(self, view: JobView, gone: list[Pending]) -> None:
         self._index(view, self._machines(view), False)
--- a/src/cloverplank/jobs/headroom.py
+++ b/src/cloverplank/jobs/headroom.py
@@ -4,7 +4,6 @@
 
 import math
 from collections import Counter, OrderedDict, deque
-from collections.abc import Sequence
 
 import msgspec
 from msgspec import Struct, field
@@ -12,7 +11,7 @@
 from cloverplank.kinds import WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
-from .placing import Room, Turn, fill
+from .placing import Rooms, Turn
 from .records import JobRecord
 
 KEPT = 40  # arrivals remembered for each class
@@ -84,11 +83,11 @@
                 result.append(Turn(JobRecord(spec, WallMs(0)), False, True))
         return result
 
-    def reserve(self, rooms: Sequence[Room], zone: Zone, now: WallMs) -> list[Room]:
+    def reserve(self, rooms: Rooms, zone: Zone, now: WallMs) -> Rooms:
         """The rooms less what is kept ready in this zone."""
-        spare = [msgspec.structs.replace(room, images=room.images) for room in rooms]
+        spare = rooms.copy()
         for turn in self.turns(now):
-            fill(turn.record, zone, spare, turn.record.spec.tasks)
+            spare.fill(turn.record, zone, turn.record.spec.tasks)
         for room, full in zip(spare, rooms, strict=True):
             room.empty, room.used = full.empty, full.used
         return spare
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -8,7 +8,7 @@
 
 from cloverplank.kinds import JobId, Zone
 
-from .placing import TINY, Room, Turn, fill, first_rooms, room_for, zone_cap
+from .placing import TINY, Rooms, Turn, zone_cap
 from .records import JobRecord
 
 
@@ -102,7 +102,7 @@
 
 
 def split(
-    turn: Turn, total: int, zones: dict[Zone, float], rooms: Sequence[Room], rentable: Callable[[Zone], bool]
+    turn: Turn, total: int, zones: dict[Zone, float], rooms: Rooms, rentable: Callable[[Zone], bool]
 ) -> tuple[dict[str, int], list[Shortage]]:
     """Where a job's tasks may go. What is placed stays; only the missing are split.
 
@@ -126,7 +126,7 @@
         most = min(most, cap[zone] - wanted[zone])
         if most <= 0:
             return 0
-        got = sum(p.count for p in fill(record, zone, rooms, most, turn.pressing))
+        got = sum(p.count for p in rooms.fill(record, zone, most, turn.pressing))
         wanted[zone] += got
         return got
 
@@ -134,8 +134,7 @@
         extra -= put(zone, min(free[zone], extra))
     weights = {z: zones[z] for z in allowed}
     room = {
-        z: min(cap[z] - wanted[z], sum(room_for(spec, r) for r in first_rooms(
-            spec, (r for r in rooms if r.zone == z), turn.pressing))) for z in allowed
+        z: min(cap[z] - wanted[z], rooms.free(spec, z, turn.pressing)) for z in allowed
     }
     for zone, part in by_weight(extra, weights, room).items():
         extra -= put(zone, part)
@@ -163,7 +162,7 @@
 
 
 def _one_zone(
-    record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Sequence[Room], extra: int
+    record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Rooms, extra: int
 ) -> list[Zone]:
     there = [z for z in placed if placed[z]]
     if there:
@@ -171,6 +170,6 @@
     if len(allowed) <= 1:
         return allowed
     kept = [z for z in allowed if record.allot.get(z, 0)]
-    room = {z: sum(room_for(record.spec, r) for r in rooms if r.zone == z) for z in allowed}
+    room = {z: rooms.free(record.spec, z) for z in allowed}
     best = max(allowed, key=lambda z: (min(room[z], extra), z in kept))
     return [best]
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator
 
-from msgspec import Struct, field
+import msgspec
+from msgspec import Struct
 
-from cloverplank.kinds import JobId, MachineId, WallMs, Zone
+from cloverplank.kinds import MachineId, WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
 from .records import JobRecord, Placement, zone_cap
@@ -14,6 +15,7 @@
 RANKS = {"prod": 0, "urgent": 1, "standard": 2, "idle": 3}
 TINY = 1e-6
 GUESS = 1.3  # owners' estimates are often too low by a third
+OVERDUE_MS, FAR_OVERDUE_MS = 100_000, 160_000
 NO_TARGET_MS = 60_000  # what has no target waits this long for cheap room
 
 
@@ -27,7 +29,7 @@
     cpus: float
     gpus: float
     memory_gb: float
-    images: set[str] = field(default_factory=set)
+    images: Collection[str] = frozenset()
     empty: bool = True
     real: bool = True  # False: a machine that is not up yet
     used: bool = False  # something was put here in this round
@@ -64,36 +66,83 @@
     room.used = True
 
 
-def first_rooms(spec: JobSpec, rooms: Iterable[Room], pressing: bool = True) -> list[Room]:
-    """The order in which machines are tried: up, spot for who may use it, with the image, the fullest.
-
-    Bursts of what is not pressing would otherwise keep every ordinary machine from ever being idle.
-    """
-    fit = [
-        room for room in rooms
-        if room_for(spec, room) > 0 and (pressing or room.spot or not room.empty or not spec.spot)
-    ]
-    fit.sort(
-        key=lambda r: (
-            not r.real, spec.spot and not r.spot, spec.image not in r.images, r.empty, r.cpus, r.machine
-        )
+def _order(spec: JobSpec) -> Callable[[Room], tuple]:
+    """In which machines are tried: up, spot for who may use it, with the image, the fullest."""
+    return lambda r: (
+        not r.real, spec.spot and not r.spot, spec.image not in r.images, r.empty, r.cpus, r.machine
     )
-    return fit
 
 
-def fill(
-    record: JobRecord, zone: Zone, rooms: Sequence[Room], most: int, pressing: bool = True
-) -> list[Placement]:
-    """Puts up to `most` missing tasks of a job into the rooms of a zone, and takes the room."""
-    result: list[Placement] = []
-    for room in first_rooms(record.spec, (r for r in rooms if r.zone == zone), pressing):
-        if most <= 0:
-            break
-        tasks = min(most, room_for(record.spec, room))
-        occupy(room, record.spec, tasks)
-        result.append(Placement(room.machine, zone, tasks))
-        most -= tasks
-    return result
+class Rooms:
+    """What machines have left in one round, by zone.
+
+    Room only shrinks while a round goes on. So what found none is remembered: under a backlog,
+    most jobs then need no look at hundreds of full machines.
+    """
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        self.by_zone: dict[Zone, list[Room]] = {}
+        self.by_name: dict[MachineId, Room] = {}
+        for room in rooms:
+            self.by_zone.setdefault(room.zone, []).append(room)
+            self.by_name[room.machine] = room
+        self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
+
+    def __iter__(self) -> Iterator[Room]:
+        for rooms in self.by_zone.values():
+            yield from rooms
+
+    def copy(self) -> Rooms:
+        return Rooms(msgspec.structs.replace(room) for room in self)
+
+    def first(self, spec: JobSpec, zone: Zone, pressing: bool = True) -> list[Room]:
+        """Those with room for a task, in the order in which they are tried.
+
+        Bursts of what is not pressing would otherwise keep every ordinary machine from ever being idle.
+        """
+        known = self._hopeless.setdefault((zone, pressing), [])
+        if any(_no_easier(spec, other) for other in known):
+            return []
+        fit = [
+            room for room in self.by_zone.get(zone, ())
+            if room.cpus + TINY >= spec.cpus and room.memory_gb + TINY >= spec.memory_gb
+            and (pressing or room.spot or not room.empty or not spec.spot)
+            and room_for(spec, room) > 0
+        ]
+        if not fit:
+            known.append(spec)
+        fit.sort(key=_order(spec))
+        return fit
+
+    def free(self, spec: JobSpec, zone: Zone, pressing: bool = True) -> int:
+        return sum(room_for(spec, room) for room in self.first(spec, zone, pressing))
+
+    def fill(
+        self, record: JobRecord, zone: Zone, most: int, pressing: bool = True,
+        allowed: Callable[[Room], bool] | None = None,
+    ) -> list[Placement]:
+        """Puts up to `most` missing tasks of a job into the rooms of a zone, and takes the room."""
+        result: list[Placement] = []
+        for room in self.first(record.spec, zone, pressing):
+            if most <= 0:
+                break
+            if allowed is not None and not allowed(room):
+                continue
+            tasks = min(most, room_for(record.spec, room))
+            occupy(room, record.spec, tasks)
+            result.append(Placement(room.machine, zone, tasks))
+            most -= tasks
+        return result
+
+
+def _no_easier(spec: JobSpec, other: JobSpec) -> bool:
+    """Where a task of `other` finds no room, one of `spec` finds none either."""
+    return (
+        spec.cpus >= other.cpus and spec.memory_gb >= other.memory_gb and spec.gpus >= other.gpus
+        and (other.spot or not spec.spot)
+        and other.zone in (None, spec.zone)
+        and (other.types is None or (spec.types is not None and set(spec.types) <= set(other.types)))
+    )
 
 
 class Turn(Struct, eq=False):
@@ -104,9 +153,22 @@
     headroom: bool = False  # no job at all: room that is kept ready
     finish: float = 0.0
     pressing: bool = True  # False: it can wait for cheap room, and wakes no idle ordinary machine
+    overdue: int = 0  # waits without one task started: 1, as if guaranteed; 2, before all others
+
+    def key(self) -> tuple:
+        return (
+            self.overdue < 2, not (self.guaranteed or self.overdue), RANKS[self.record.spec.rank],
+            not self.overdue, self.finish, self.record.id,
+        )
+
 
-    def key(self) -> tuple[int, int, float, JobId]:
-        return (0 if self.guaranteed else 1, RANKS[self.record.spec.rank], self.finish, self.record.id)
+def overdue(record: JobRecord, now: WallMs) -> int:
+    """Guaranteed work and small jobs may pass a large one, but not for ever: no job waits for its first
+    task much longer than this while others get room."""
+    if record.runs or record.done:
+        return 0
+    waited = now - record.at
+    return (waited > OVERDUE_MS) + (waited > FAR_OVERDUE_MS)
 
 
 def earliest_finish(record: JobRecord, most_cpus: float) -> float:
@@ -146,7 +208,8 @@
 
 
 def in_order(
-    records: Iterable[JobRecord], guarantees: dict[str, tuple[float, float]], most: dict[str, float] | None = None
+    records: Iterable[JobRecord], guarantees: dict[str, tuple[float, float]], most: dict[str, float] | None = None,
+    now: WallMs | None = None,
 ) -> list[Turn]:
     """Guarantee, then rank, then age. A job is guaranteed while it fits its team's guarantee
     together with the team's jobs before it. `most`: cpus that each team may use."""
@@ -157,17 +220,16 @@
         spec = record.spec
         open_tasks = record.placed() + record.missing_count()
         have = used.get(spec.team, (0.0, 0.0))
-        now = (have[0] + spec.cpus * open_tasks, have[1] + spec.gpus * open_tasks)
+        have = used[spec.team] = (have[0] + spec.cpus * open_tasks, have[1] + spec.gpus * open_tasks)
         guarantee = guarantees.get(spec.team, (0.0, 0.0))
-        inside = now[0] <= guarantee[0] + TINY and now[1] <= guarantee[1] + TINY
-        used[spec.team] = now
+        inside = have[0] <= guarantee[0] + TINY and have[1] <= guarantee[1] + TINY
         finish = earliest_finish(record, most[spec.team]) if spec.team in most else record.at
-        turns.append(Turn(record, inside, finish=finish))
+        turns.append(Turn(record, inside, finish=finish, overdue=overdue(record, now) if now else 0))
     turns.sort(key=Turn.key)
     return turns
 
 
 __all__ = [
-    "GUESS", "NO_TARGET_MS", "RANKS", "TINY", "Room", "Targets", "Turn", "fill", "fitting", "in_order", "occupy",
+    "GUESS", "NO_TARGET_MS", "RANKS", "TINY", "Room", "Rooms", "Targets", "Turn", "fitting", "in_order", "occupy",
     "room_for", "suits", "zone_cap",
 ]
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable
 from enum import StrEnum
+from functools import cached_property
 
 import msgspec
 from msgspec import Struct, field
@@ -44,7 +45,9 @@
     since_attempt: int
 
 
-class JobRecord(Struct, frozen=True, omit_defaults=True):
+class JobRecord(Struct, frozen=True, omit_defaults=True, dict=True):
+    """Frozen, so what is counted from it is counted once: rounds ask for the same counts of every job."""
+
     spec: JobSpec
     at: int  # time of day of the submission, ms
     phase: Phase = Phase.OPEN
@@ -58,8 +61,42 @@
     def id(self) -> JobId:
         return JobId(self.spec.id)
 
+    @cached_property
+    def runs_on(self) -> dict[str, list[Run]]:
+        """The runs by machine."""
+        found: dict[str, list[Run]] = {}
+        for run in self.runs:
+            found.setdefault(run.machine, []).append(run)
+        return found
+
+    @cached_property
+    def _by_zone(self) -> dict[str, int]:
+        found: dict[str, int] = {}
+        for run in self.runs:
+            found[run.zone] = found.get(run.zone, 0) + ranges.count(run.tasks)
+        return found
+
+    @cached_property
+    def _placed(self) -> int:
+        return sum(self._by_zone.values())
+
+    @cached_property
+    def done_count(self) -> int:
+        return ranges.count(self.done)
+
+    @cached_property
+    def _held(self) -> int:
+        placed = self._placed
+        if self.phase is not Phase.OPEN:
+            return placed
+        free = sum(max(0, most - self.placed(zone)) for zone, most in self.allot.items())
+        return placed + min(free, self.missing_count())
+
     def placed(self, zone: str | None = None) -> int:
-        return sum(ranges.count(run.tasks) for run in self.runs if zone is None or run.zone == zone)
+        return self._placed if zone is None else self._by_zone.get(zone, 0)
+
+    def placed_on(self, machine: str) -> int:
+        return sum(ranges.count(run.tasks) for run in self.runs_on.get(machine, ()))
 
     def missing(self) -> Ranges:
         """Tasks that are neither done nor on a machine."""
@@ -73,24 +110,20 @@
     def missing_count(self) -> int:
         if self.phase is not Phase.OPEN:
             return 0
-        return self.spec.tasks - ranges.count(self.done) - self.placed()
+        return self.spec.tasks - self.done_count - self._placed
 
     def held(self) -> int:
         """Tasks that count against the team: on machines, or free to be put there by a holder."""
-        placed = self.placed()
-        if self.phase is not Phase.OPEN:
-            return placed
-        free = sum(max(0, most - self.placed(zone)) for zone, most in self.allot.items())
-        return placed + min(free, self.missing_count())
+        return self._held
 
     def finished(self) -> bool:
         if self.phase is Phase.CANCELLED:
             return not self.runs
-        return ranges.count(self.done) == self.spec.tasks
+        return self.done_count == self.spec.tasks
 
     def run_of(self, task: TaskRef, machine: str) -> Run | None:
-        for run in self.runs:
-            if run.machine == machine and run.attempt == task.attempt and ranges.contains(run.tasks, task.index):
+        for run in self.runs_on.get(machine, ()):
+            if run.attempt == task.attempt and ranges.contains(run.tasks, task.index):
                 return run
         return None
 
@@ -233,7 +266,7 @@
     """Drops a tainted machine, whose tasks are proven gone, from the placement; an entry remains."""
 
     def change(record: JobRecord) -> JobRecord | None:
-        lost = sum(ranges.count(run.tasks) for run in record.runs if run.machine == machine)
+        lost = record.placed_on(machine)
         if not lost:
             return None
         runs = [run for run in record.runs if run.machine != machine]
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from .messages import NoAnswer, NotSent, Response
+from .messages import NoAnswer, NoRoom, NotSent, Response
 
 IDLE_S = 20.0
 MAX_ANSWER = 8 * 1024 * 1024
@@ -97,7 +97,7 @@
                 if connection is None:
                     self._make_room()
                     if self._open >= self._limit:
-                        raise NotSent("no free connection")
+                        raise NoRoom("no free connection")
                     self._open += 1
                     try:
                         host, _, port = addr.rpartition(":")
--- a/src/cloverplank/net/messages.py
+++ b/src/cloverplank/net/messages.py
@@ -35,6 +35,10 @@
     """The connection could not be made: the request was not carried out and will not be."""
 
 
+class NoRoom(NotSent):
+    """Not even tried, for want of a free socket of our own: says nothing of the other side."""
+
+
 class Http(Protocol):
     """How the service reaches others; the tests' world has its own."""
 
--- a/src/cloverplank/net/server.py
+++ b/src/cloverplank/net/server.py
@@ -17,7 +17,7 @@
 log = logging.getLogger("cloverplank.net")
 
 REQUEST_S = 5.0  # from the first byte of a request to its last
-IDLE_S = 120.0
+IDLE_S = 30.0  # users ask every few seconds, workers more often: what is silent for longer is gone
 
 
 class Server:
--- a/src/cloverplank/state/client.py
+++ b/src/cloverplank/state/client.py
@@ -34,6 +34,7 @@
         self.rate = rate
         self._level = rate * depth
         self._at = clock.mono()
+        self.taken = 0.0  # in all
 
     def _refill(self) -> None:
         now = self._clock.mono()
@@ -45,12 +46,14 @@
         if self._level - amount < least - 1e-9:
             return False
         self._level -= amount
+        self.taken += amount
         return True
 
     def force(self, amount: float = 1.0) -> None:
         """For what can't wait; later ones wait the longer."""
         self._refill()
         self._level -= amount
+        self.taken += amount
 
     def wait(self, amount: float = 1.0) -> float:
         """Seconds until `amount` can be taken."""
--- a/src/cloverplank/state/fresh.py
+++ b/src/cloverplank/state/fresh.py
@@ -17,6 +17,7 @@
 from .client import Refused, StateClient, Unknown
 from .mirror import Mirror
 
+LONGEST_GATHER_S = 0.25
 Found = JobRecord | Phase | None
 
 
@@ -50,6 +51,10 @@
         try:
             await asyncio.sleep(0.002)  # gathers what comes at the same moment
             while self._asked:
+                # Over its share of requests it gathers for longer, and asks for more jobs at once.
+                wait = self._client.requests.wait()
+                if wait > 0:
+                    await asyncio.sleep(min(LONGEST_GATHER_S, wait))
                 batch = dict(list(self._asked.items())[: self._batch])
                 for job in batch:
                     del self._asked[job]
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -12,7 +12,7 @@
 JOBS = "cp/job/"
 FINALS = "cp/fin/"
 HIRES = "cp/hire/"
-MACHINES = "cp/m/"
+RETURNS = "cp/ret/"
 
 
 def node(label: str) -> str:
@@ -35,8 +35,8 @@
     return HIRES + name
 
 
-def machine(name: str) -> str:
-    return MACHINES + name
+def returns(name: str) -> str:
+    return RETURNS + name
 
 
 class NodeRecord(Struct, frozen=True):
@@ -70,9 +70,10 @@
     machines: list[str] = field(default_factory=list)
 
 
-class MachineRecord(Struct, frozen=True):
-    """A machine that is being given back: "drain" while tasks leave it, "gone" once the cloud said so."""
+class ReturnRecord(Struct, frozen=True):
+    """Machines that are given back: `draining` while tasks leave them, with the reason; `gone` once the
+    cloud said so."""
 
-    phase: str
-    why: str
     at: int
+    draining: dict[str, str] = field(default_factory=dict)
+    gone: list[str] = field(default_factory=list)
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -17,11 +17,12 @@
 
 from . import keys
 from .client import Lost, Refused, StateClient, Unknown
-from .keys import BlockRecord, HireRecord, LeaderRecord, MachineRecord, NodeRecord
+from .keys import BlockRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
 
 log = logging.getLogger("cloverplank.state")
 
 WATCH_S = 1.5
+STUCK_FAILURES = 6
 MAX_FINALS = 20_000
 T = TypeVar("T")
 
@@ -31,7 +32,7 @@
     (keys.NODES, NodeRecord),
     (keys.BLOCKS, BlockRecord),
     (keys.HIRES, HireRecord),
-    (keys.MACHINES, MachineRecord),
+    (keys.RETURNS, ReturnRecord),
 )
 
 
@@ -39,9 +40,10 @@
     def __init__(self, client: StateClient, book: Book, clock: Clock, gap_s: float) -> None:
         self._client = client
         self._clock = clock
-        self._gap_s = gap_s  # between two watches, so that they keep to their share of requests
+        self.gap_s = gap_s  # between two watches, so that they keep to their share of requests
         self.book = book
         self.values: dict[str, tuple[object, Stamp]] = {}
+        self._by_kind: dict[type, dict[str, tuple[object, Stamp]]] = {}  # the same again; rounds ask by kind
         self.gone: dict[str, Stamp] = {}  # stamps of deletions, against late news
         self.finals: OrderedDict[JobId, Phase] = OrderedDict()
         self.revision = 0
@@ -61,9 +63,9 @@
 
     def under(self, prefix: str, kind: type[T]) -> dict[str, tuple[T, Stamp]]:
         return {
-            key[len(prefix):]: (value, stamp)
-            for key, (value, stamp) in self.values.items()
-            if key.startswith(prefix) and isinstance(value, kind)
+            key[len(prefix):]: (value, stamp)  # type: ignore[misc]
+            for key, (value, stamp) in self._by_kind.get(kind, {}).items()
+            if key.startswith(prefix)
         }
 
     def final(self, job: JobId) -> Phase | None:
@@ -96,7 +98,7 @@
         for prefix, kind in _KINDS:
             if key == prefix or (prefix.endswith("/") and key.startswith(prefix)):
                 read = value if isinstance(value, kind) else decode(bytes(value), kind)
-                self.values[key] = (read, stamp)
+                self.values[key] = self._by_kind.setdefault(kind, {})[key] = (read, stamp)
                 self.changed(key)
                 return
 
@@ -108,7 +110,8 @@
         if key.startswith(keys.JOBS):
             self.book.remove(JobId(key[len(keys.JOBS):]), stamp)
         elif key in self.values and self.values[key][1] < stamp:
-            del self.values[key]
+            value, _ = self.values.pop(key)
+            del self._by_kind[type(value)][key]
             self.changed(key)
 
     def _apply(self, event: Change) -> None:
@@ -154,11 +157,16 @@
                 self.revision = max(self.revision, changes.revision)
                 self.fresh_at = max(self.fresh_at, sent)
                 failures = 0
-                await asyncio.sleep(self._gap_s)
+                await asyncio.sleep(self.gap_s)
             except Lost:
                 log.info("mirror: the log is gone, reading again")
                 self.loaded = False
             except (Refused, Unknown) as err:
                 failures += 1
                 log.debug("mirror: %s", err)
+                if failures >= STUCK_FAILURES and not self._client.down():
+                    # Others of our requests are answered, the watch never is: an answer that is too large, or
+                    # can't be read, would be asked for again for ever.
+                    log.info("mirror: the watch fails, reading again")
+                    self.loaded, failures = False, 0
                 await asyncio.sleep(min(1.0, 0.2 * failures))
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -39,6 +39,7 @@
 LEAVES = {Urgency.LEASE: -5.0, Urgency.CANCEL: -2.0, Urgency.SUBMIT: 0.0, Urgency.PLACE: 0.1, Urgency.DONE: 0.3}
 IN_FLIGHT = 8
 MAX_WAITING = 400
+NEED_S = 2.0
 
 
 class Full(Exception):
@@ -63,6 +64,7 @@
         self._flying = 0
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._need, self._need_at, self._need_made = 0.0, clock.mono(), 0.0
 
     def waiting(self) -> int:
         return len(self._dirty) + len(self._raw)
@@ -70,6 +72,17 @@
     def wait_estimate(self) -> float:
         return self._client.changes.wait(len(self._raw) + 1.0)
 
+    def need(self) -> float:
+        """Changes a second that this controller makes or would make if it might, over the last seconds."""
+        now = self._clock.mono()
+        made = self._client.changes.taken
+        passed = now - self._need_at
+        if passed >= 0.2:
+            rate = (made - self._need_made) / passed + self.waiting() / NEED_S
+            self._need += (rate - self._need) * min(1.0, passed / NEED_S)
+            self._need_at, self._need_made = now, made
+        return self._need
+
     # -- what is asked of it
 
     def change(self, view: JobView, pending: Pending) -> None:
--- a/src/cloverplank/wire/peers.py
+++ b/src/cloverplank/wire/peers.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct, field
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
 
 HINT_PATH = "/peer/hint"
 
@@ -27,3 +29,4 @@
     machines: list[MachineHint] = field(default_factory=list)
     holds: dict[str, int] = field(default_factory=dict)  # zone -> baton
     shy: bool = False  # wants no block: it heard no workers
+    changes: Annotated[float, Meta(ge=0, le=1e6)] = 0.0  # that it would make a second in the state service
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -183,7 +183,7 @@
     ]
     record = JobRecord(spec(vcpus=3.0, loaners=False, pieces=40), 0)
     free = {room.machine: room.cpus for room in rooms}
-    placements = placing.fill(record, "a", rooms, most)  # type: ignore[arg-type]
+    placements = placing.Rooms(rooms).fill(record, "a", most)  # type: ignore[arg-type]
     assert sum(p.count for p in placements) == min(most, sum(int(s / 3) for s, spot, _ in sizes if not spot))
     for placement in placements:
         assert placement.count * 3.0 <= free[placement.machine] + 1e-6
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -7,7 +7,7 @@
 from cloverplank.fleet.roster import Roster
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Shortage
-from cloverplank.jobs.placing import Room, Targets, Turn, fill
+from cloverplank.jobs.placing import Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import JobRecord
 from cloverplank.kinds import Clock, WallMs, Zone
 from cloverplank.wire.cloud import ListedMachine, MachineType
@@ -57,8 +57,8 @@
             Room("m-2", "a", "small", False, 4.0, 0.0, 64.0, empty=False),  # type: ignore[arg-type]
         ]
 
-    assert [p.machine for p in fill(record, Zone("a"), rooms(), 20, pressing=False)] == ["m-2"]
-    assert {p.machine for p in fill(record, Zone("a"), rooms(), 20, pressing=True)} == {"m-1", "m-2"}
+    assert [p.machine for p in Rooms(rooms()).fill(record, Zone("a"), 20, pressing=False)] == ["m-2"]
+    assert {p.machine for p in Rooms(rooms()).fill(record, Zone("a"), 20, pressing=True)} == {"m-1", "m-2"}
     targets = Targets({"train": [100.0]}, 0.4)
     waiting = JobRecord(spec(loaners=True, rank="standard", guess_s=10.0, due_s=None), WallMs(0))
     assert not targets.pressing(waiting, WallMs(5_000)) and targets.pressing(waiting, WallMs(60_000))
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -37,6 +37,7 @@
     for task in pending:
         task.cancel()
     await asyncio.sleep(world.cancel_s + 5)
+    await world.afterwards()
     return ends
 
 
@@ -134,9 +135,68 @@
             busy[0].die()
 
 
+async def machines_deaf(world: World) -> None:
+    """Their reports arrive, but no answer and no command reaches them; some hear again later."""
+    for length in (6.0, 20.0, 30.0):
+        await asyncio.sleep(9)
+        busy = [m.id for m in world.machines.values() if m.alive and m.tasks][:2]
+        world.deaf.update(busy)
+        await asyncio.sleep(length)
+        world.deaf.difference_update(busy)
+
+
+async def machines_deaf_cloud_down(world: World) -> None:
+    """No release can prove their tasks gone, and the holder ends in the middle."""
+    await asyncio.sleep(16)
+    world.cloud.down = True
+    world.deaf.update([m.id for m in world.machines.values() if m.alive and m.tasks][:2])
+    await asyncio.sleep(8)
+    world.spawn(world.restart(holder(world), 0.1))
+    await asyncio.sleep(45)
+    world.cloud.down = False
+    world.deaf.clear()
+
+
+async def late_copies(world: World) -> None:
+    """Of half of all reports, while machines die, are released and change sessions, around takeovers."""
+    world.copies = 0.5
+    await asyncio.sleep(18)
+    for number, machine in enumerate([m for m in world.machines.values() if m.alive and m.tasks][:3]):
+        if number % 2:
+            machine.die()
+        else:
+            machine.hung = True
+            world.loop.call_later(11, setattr, machine, "hung", False)
+    world.spawn(world.restart(holder(world), 0.2))
+    await asyncio.sleep(15)
+    world.spawn(world.restart(holder(world), 5.0))
+    await asyncio.sleep(20)
+    world.copies = 0.0
+
+
+async def only_workers(world: World) -> None:
+    """The holder loses the state service and the other controllers, but not its workers."""
+    await asyncio.sleep(18)
+    lonely = holder(world)
+    for other in ["state", *(label for label in world.labels if label != lonely)]:
+        world.cut(lonely, other)
+    await asyncio.sleep(40)
+    world.heal()
+
+
+async def back_at_once(world: World) -> None:
+    """In mid-election, again and again, with the old processes' requests on their way."""
+    await asyncio.sleep(18)
+    for _ in range(6):
+        for label in world.random.sample(world.labels, 2):
+            world.spawn(world.restart(label, world.random.uniform(0.05, 0.4)))
+        await asyncio.sleep(world.random.uniform(0.2, 4.0))
+
+
 TROUBLES = [
     None, crash_holder, crash_all, state_down, shut_out_in_outage, cut_holder_off, cut_from_workers,
     cut_from_state, machines_hang, spot_wave_cloud_down, machines_die,
+    machines_deaf, machines_deaf_cloud_down, late_copies, only_workers, back_at_once,
 ]
 
 
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -85,6 +85,8 @@
         self.done_tasks: set[str] = set()
         self.controllers: dict[str, tuple[Controller, asyncio.Task]] = {}
         self.cuts: set[tuple[str, str]] = set()
+        self.deaf: set[str] = set()  # machines whose reports arrive while answers and commands don't
+        self.copies = 0.0  # part of reports of which a copy arrives late, up to several leases
         self.held: list = []
         self.hold = True
         self.tasks: set[asyncio.Task] = set()
@@ -225,6 +227,18 @@
             await asyncio.sleep(timeout)
             raise NotSent("cut")
         await asyncio.sleep(self.random.uniform(0.001, 0.01))
+        if self.copies and path == "/v1/report" and self.random.random() < self.copies:
+            # To any controller: the worker may have changed over meanwhile.
+            other = f"front:{self.random.choice(self.labels)}"
+            late = self.random.uniform(0.5, 4 * self.lease_s)
+            self.spawn(self._late(late, src, self._host(other), other, method, path, body))
+        if host in self.deaf:
+            await asyncio.sleep(timeout)
+            raise NoAnswer("deaf")
+        if src in self.deaf:
+            await self._carry_out(src, host, addr, method, path, body)
+            await asyncio.sleep(timeout)
+            raise NoAnswer("deaf")
         if chance < self.noise * 0.3:
             await asyncio.sleep(timeout)
             raise NoAnswer("request lost")
@@ -303,3 +317,27 @@
             if status == 200 and value["status"] in ("done", "cancelled"):
                 return value["status"]
             await asyncio.sleep(1.0 if cancel_after else 2.5)
+
+    async def afterwards(self, within_s: float = 75.0) -> None:
+        """Troubles are over: every controller answers for every accepted job, and each job that was not
+        cancelled has run or runs by now."""
+        jobs = sorted(self.rules.accepted)
+        until = self.now() + within_s
+
+        async def known(job: str, label: str) -> None:
+            while True:
+                status, value = await self.ask("GET", f"/api/jobs/{job}", label=label)
+                self.rules.answered(job, status, value.get("status"))
+                if status == 200:
+                    return
+                if self.now() > until:
+                    self.rules.breach("forgotten", f"{job}: {label} does not answer")
+                    return
+                await asyncio.sleep(2.0)
+
+        await asyncio.gather(*(known(job, label) for job in jobs for label in self.labels))
+        while self.now() < until and any(j not in self.rules.started for j in jobs if j not in self.rules.cancel_asked):
+            await asyncio.sleep(1.0)
+        for job in jobs:
+            if job not in self.rules.cancel_asked and job not in self.rules.started:
+                self.rules.breach("forgotten", f"{job} was accepted and never ran")
