--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -41,9 +41,9 @@
 
 log = logging.getLogger("cloverplank.controller")
 
-ROUND_S = 0.03  # between two rounds of decisions at the least
+ROUND_S = 0.04  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
-ROUND_PART = 0.35  # of the processor that rounds may take: reports and leases come first
+ROUND_PART = 0.25  # of the processor that rounds may take: reports and leases come first
 NOTE_S = 0.1  # between two notes of the own machines in the roster
 MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
 SHY_S = 20.0
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -33,7 +33,7 @@
 MAX_MACHINES = 5000
 SAFE_RUNS = 40  # fit in any value
 BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
-MERGE_S = 0.25  # completions of one job are gathered for this long
+MERGE_S = 1.0  # completions of one job are gathered for this long: what they free is free at once
 DIRECT_S = 2.0
 PROBE_S = 1.0
 MAX_PROBES = 48  # at once: more would take the sockets that orders need
@@ -68,6 +68,7 @@
 
 
 class Stop(Struct, frozen=True):
+    machine: MachineId
     grace_s: float
     why: str
     at: Mono
@@ -541,11 +542,11 @@
     def stop(self, ref: TaskRef, machine: Machine, grace_s: float, why: str) -> None:
         if ref in self.stops:
             return
-        self.stops[ref] = Stop(grace_s, why, self._clock.mono())
+        self.stops[ref] = Stop(machine.id, grace_s, why, self._clock.mono())
         log.info("stop: task %s try %d on %s: %s", ref.name, ref.attempt, machine.id, why)
         self.push(machine)
 
-    def rooms(self) -> Rooms:
+    def rooms(self, least_cpus: float = 0.0) -> Rooms:
         """What is free on machines that may take new tasks."""
         result = []
         types = self._types()
@@ -556,14 +557,15 @@
             if machine.id in self._returning or self.faulty(machine) or machine.id == self.packing:
                 continue
             result.append(room_of(machine.id, self.zone, kind, machine.spot, machine.images, self._book))
-        return Rooms(result)
+        return Rooms(result, least_cpus)
 
     def place(self, turns: list[Turn], headroom: Headroom) -> None:
         """Places what is allotted to this zone, in order."""
         if not self._may_start() or self.deposed:
             return
         now = self._clock.mono()
-        rooms = self.rooms()
+        least = min((t.record.spec.cpus for t in turns if t.record.missing_count()), default=0.0)
+        rooms = self.rooms(least)
         spare = headroom.reserve(rooms, self.zone, self._clock.wall())
         waiting: list[tuple[Turn, int]] = []
         for turn in turns:
@@ -714,36 +716,44 @@
 
     def _preempt(self, waiting: list[tuple[Turn, int]], turns: list[Turn]) -> None:
         """Makes room for higher ranks, and for guarantees from what others run beyond theirs."""
-        if not waiting:
+        running = [t for t in turns if not t.record.spec.service and t.record.placed(self.zone)]
+        lowest = max((RANKS[t.record.spec.rank] for t in running), default=-1)
+        beyond = {t.record.spec.team for t in running if not t.guaranteed}
+        # Under a backlog most have nobody to take room from: no look at hundreds of machines for them.
+        pressed = [
+            (turn, tasks) for turn, tasks in waiting
+            if lowest > RANKS[turn.record.spec.rank] or (turn.guaranteed and beyond - {turn.record.spec.team})
+        ]
+        if not pressed:
             return
-        now = self._clock.mono()
         guaranteed = {turn.record.id: turn.guaranteed for turn in turns}
-        # Room that stops already sent will make is counted first.
-        coming = {m.id: [0.0, 0.0, 0.0] for m in self.machines.values()}
-        for machine in self.machines.values():
-            for ref in machine.tasks:
-                stop = self.stops.get(ref)
-                view = self._book.get(ref.job)
-                if stop is not None and view is not None and now - stop.at < 15:
-                    self._add(coming[machine.id], view.record.spec, 1)
+        coming = self._coming()
         rooms = self.rooms().by_name
-        victims = self._all_victims(guaranteed)
-        lowest = max((RANKS[v.record.spec.rank] for found in victims.values() for v in found), default=-1)
-        beyond = {v.record.spec.team for found in victims.values() for v in found if not v.guaranteed}
-        for turn, tasks in waiting:
+        victims: dict[MachineId, list[Victim]] = {}
+        for turn, tasks in pressed:
             spec = turn.record.spec
-            # Under a backlog most have nobody to take room from: no look at hundreds of machines for them.
-            if tasks <= 0 or not (lowest > RANKS[spec.rank] or (turn.guaranteed and beyond - {spec.team})):
-                continue
             for machine in self.machines.values():
                 room = rooms.get(machine.id)
                 if tasks <= 0:
                     break
                 if room is None or not suits(spec, machine.type, self.zone, machine.spot):
                     continue
-                found = victims.get(machine.id, [])
-                if found or any(coming[machine.id]):
-                    tasks -= self._make_room(turn, tasks, room, coming[machine.id], found)
+                if machine.id not in victims:
+                    victims[machine.id] = self._victims(machine, guaranteed)
+                if victims[machine.id] or machine.id in coming:
+                    amounts = coming.setdefault(machine.id, [0.0, 0.0, 0.0])
+                    tasks -= self._make_room(turn, tasks, room, amounts, victims[machine.id])
+
+    def _coming(self) -> dict[MachineId, list[float]]:
+        """Room that stops already sent will make; it is counted first."""
+        now = self._clock.mono()
+        coming: dict[MachineId, list[float]] = {}
+        for ref, stop in self.stops.items():
+            view = self._book.get(ref.job)
+            machine = self.machines.get(stop.machine)
+            if view is not None and machine is not None and ref in machine.tasks and now - stop.at < 15:
+                self._add(coming.setdefault(machine.id, [0.0, 0.0, 0.0]), view.record.spec, 1)
+        return coming
 
     @staticmethod
     def _add(amounts: list[float], spec: object, sign: int) -> None:
@@ -751,26 +761,22 @@
         amounts[1] += sign * spec.gpus  # type: ignore[attr-defined]
         amounts[2] += sign * spec.memory_gb  # type: ignore[attr-defined]
 
-    def _all_victims(self, guaranteed: dict[JobId, bool]) -> dict[MachineId, list[Victim]]:
-        """Tasks that may be stopped for somebody, by machine, in the order in which they are.
+    def _victims(self, machine: Machine, guaranteed: dict[JobId, bool]) -> list[Victim]:
+        """Tasks that may be stopped for somebody, in the order in which they are.
 
         Replicas are not stopped for the sake of arrays: a guarantee is met from them last, by renting.
         """
-        result: dict[MachineId, list[Victim]] = {}
-        for machine in self.machines.values():
-            found = []
-            for ref, task in machine.tasks.items():
-                view = self._book.get(ref.job)
-                if view is None or ref in self.stops or task.state not in ("running", "pulling"):
-                    continue
-                record = view.record
-                if record.spec.service or record.phase is not Phase.OPEN or record.run_of(ref, machine.id) is None:
-                    continue
-                found.append(Victim(ref, machine, record, guaranteed.get(ref.job, False)))
-            if found:
-                found.sort(key=lambda v: (v.guaranteed, -RANKS[v.record.spec.rank], -v.record.at, v.ref))
-                result[machine.id] = found
-        return result
+        found = []
+        for ref, task in machine.tasks.items():
+            view = self._book.get(ref.job)
+            if view is None or ref in self.stops or task.state not in ("running", "pulling"):
+                continue
+            record = view.record
+            if record.spec.service or record.phase is not Phase.OPEN or record.run_of(ref, machine.id) is None:
+                continue
+            found.append(Victim(ref, machine, record, guaranteed.get(ref.job, False)))
+        found.sort(key=lambda v: (v.guaranteed, -RANKS[v.record.spec.rank], -v.record.at, v.ref))
+        return found
 
     def _make_room(self, turn: Turn, tasks: int, room: Room, coming: list[float], victims: list[Victim]) -> int:
         spec = turn.record.spec
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -143,7 +143,9 @@
                 have = others.get(spec.team, Limit(0.0, 0.0))
                 others[spec.team] = Limit(have.cpus + held * spec.cpus, have.gpus + held * spec.gpus)
         totals = team_limits.totals(turns, lambda job: self._book.jobs[job].held(), self._limits, others)
-        rooms = self.rooms()
+        ready = self._headroom.turns(self._clock.wall())
+        least = min((t.record.spec.cpus for t in [*ready, *turns] if t.record.missing_count()), default=0.0)
+        rooms = self.rooms(least)
         shortages: list[Shortage] = []
 
         def rentable(zone: Zone) -> bool:
@@ -156,7 +158,7 @@
         for turn in turns:
             if not kept and not turn.guaranteed and not turn.overdue and not self._headroom.serves(turn.record.spec):
                 kept = True
-                shortages += self._keep_room(rooms, rentable)
+                shortages += self._keep_room(ready, rooms, rentable)
             view = self._book.jobs[turn.record.id]
             allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
             shortages += short
@@ -165,17 +167,17 @@
                                   plan="allot")
                 self._queue.change(view, pending)
         if not kept:
-            shortages += self._keep_room(rooms, rentable)
+            shortages += self._keep_room(ready, rooms, rentable)
         self.shortages = shortages
         self.needed = {room.machine for room in rooms if room.used}
 
-    def _keep_room(self, rooms: Rooms, rentable: Callable[[Zone], bool]) -> list[Shortage]:
+    def _keep_room(self, ready: list[Turn], rooms: Rooms, rentable: Callable[[Zone], bool]) -> list[Shortage]:
         shortages: list[Shortage] = []
-        for turn in self._headroom.turns(self._clock.wall()):
+        for turn in ready:
             shortages += team_limits.split(turn, turn.record.spec.tasks, self._zones, rooms, rentable)[1]
         return shortages
 
-    def rooms(self) -> Rooms:
+    def rooms(self, least_cpus: float = 0.0) -> Rooms:
         types = self._types()
         result: list[Room] = []
         for known in self._roster.known.values():
@@ -191,7 +193,7 @@
             for number in range(hire.count):
                 result.append(room_of(MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, frozenset(),
                                       self._book, False))
-        return Rooms(result)
+        return Rooms(result, least_cpus)
 
     def _usable(self, known: Known) -> bool:
         if known.id in self._returning or known.ends or known.state == "failed":
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -111,7 +111,7 @@
     record = turn.record
     spec = record.spec
     placed = {zone: record.placed(zone) for zone in zones}
-    extra = total - sum(placed.values())
+    extra = total - record.placed()
     allotment = {zone: count for zone, count in placed.items() if count}
     if extra <= 0:
         return allotment, []
@@ -133,26 +133,25 @@
     for zone in allowed:  # first what stays
         extra -= put(zone, min(free[zone], extra))
     weights = {z: zones[z] for z in allowed}
-    room = {
-        z: min(cap[z] - wanted[z], rooms.free(spec, z, turn.pressing)) for z in allowed
-    }
-    for zone, part in by_weight(extra, weights, room).items():
-        extra -= put(zone, part)
+    if extra > 0:
+        room = {z: min(cap[z] - wanted[z], rooms.free(spec, z, turn.pressing)) for z in allowed}
+        for zone, part in by_weight(extra, weights, room).items():
+            extra -= put(zone, part)
     shortages: list[Shortage] = []
     if extra > 0:
-        # No room anywhere: they wait, where they waited before or where a machine may be had.
-        waiting = dict.fromkeys(allowed, 0)
-        for zone in allowed:
-            stay = min(extra, free[zone] - wanted[zone], cap[zone] - wanted[zone])
-            if stay > 0 and rentable(zone):
-                waiting[zone] += stay
-                extra -= stay
-        left = {z: cap[z] - wanted[z] - waiting[z] for z in allowed}
+        # No room anywhere: they wait where they waited before, the rest where a machine may be had. What
+        # waits does not move when the cloud refuses a zone for a while: each move is a change of its record.
+        short = extra
+        left = {z: cap[z] - wanted[z] for z in allowed}
         open_zones = {z: w for z, w in weights.items() if rentable(z)} or weights
-        for zone, part in by_weight(extra, open_zones, left).items():
-            waiting[zone] += part
-        for zone, count in waiting.items():
-            wanted[zone] += count
+        for zone in allowed:
+            stay = max(0, min(extra, free[zone] - wanted[zone], left[zone]))
+            wanted[zone] += stay
+            extra -= stay
+        rest = {z: cap[z] - wanted[z] for z in allowed}
+        for zone, part in by_weight(extra, open_zones, rest).items():
+            wanted[zone] += part
+        for zone, count in by_weight(short, open_zones, left).items():
             if count:
                 shortages.append(Shortage(turn, zone, count))
     for zone, count in wanted.items():
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -80,12 +80,14 @@
     most jobs then need no look at hundreds of full machines.
     """
 
-    def __init__(self, rooms: Iterable[Room]) -> None:
+    def __init__(self, rooms: Iterable[Room], least_cpus: float = 0.0) -> None:
+        """`least_cpus`: what has less left is passed over, since no task of this round can use it."""
         self.by_zone: dict[Zone, list[Room]] = {}
         self.by_name: dict[MachineId, Room] = {}
         for room in rooms:
-            self.by_zone.setdefault(room.zone, []).append(room)
-            self.by_name[room.machine] = room
+            if room.cpus + TINY >= least_cpus:
+                self.by_zone.setdefault(room.zone, []).append(room)
+                self.by_name[room.machine] = room
         self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
 
     def __iter__(self) -> Iterator[Room]:
@@ -101,13 +103,15 @@
         Bursts of what is not pressing would otherwise keep every ordinary machine from ever being idle.
         """
         known = self._hopeless.setdefault((zone, pressing), [])
-        if any(_no_easier(spec, other) for other in known):
-            return []
+        for other in known:
+            if _no_easier(spec, other):
+                return []
+        cpus, memory_gb = spec.cpus - TINY, spec.memory_gb - TINY
+        wakes = pressing or not spec.spot
         fit = [
             room for room in self.by_zone.get(zone, ())
-            if room.cpus + TINY >= spec.cpus and room.memory_gb + TINY >= spec.memory_gb
-            and (pressing or room.spot or not room.empty or not spec.spot)
-            and room_for(spec, room) > 0
+            if room.cpus >= cpus and room.memory_gb >= memory_gb
+            and (wakes or room.spot or not room.empty) and room_for(spec, room) > 0
         ]
         if not fit:
             known.append(spec)
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -118,7 +118,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _next(self, now: Mono) -> tuple[Urgency, JobView | _Raw] | None:
-        best: tuple[Urgency, float] | None = None
+        best: tuple[int, float] | None = None
         found: JobView | _Raw | None = None
         for raw in self._raw:
             if best is None or raw.urgency < best[0]:
@@ -130,13 +130,14 @@
                 continue
             if view.in_flight:
                 continue
-            ready = min(p.ready_at for p in view.pending)
-            if ready > now:
-                continue
-            order = (Urgency(min(p.urgency for p in view.pending if p.ready_at <= now)), ready)
-            if best is None or order < best:
-                best, found = order, view
-        return None if best is None or found is None else (best[0], found)
+            ready, urgency = now + 1e-9, 99
+            for pending in view.pending:
+                if pending.ready_at <= now:
+                    ready = min(ready, pending.ready_at)
+                    urgency = min(urgency, pending.urgency)
+            if urgency < 99 and (best is None or (urgency, ready) < best):
+                best, found = (urgency, ready), view
+        return None if best is None or found is None else (Urgency(best[0]), found)
 
     async def run(self) -> None:
         while True:
