--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -428,7 +428,7 @@
         """Silence becomes a taint, a taint evicts; a return within the lease is as if nothing was."""
         now = self._clock.mono()
         limits = self._limits
-        for name in {m for m in self._book.by_machine if m not in self.machines}:
+        for name in [m for m in self._book.by_machine if m not in self.machines and not self._returning.gone(m)]:
             # Placed by a former holder on a machine that nobody has told us of yet.
             if any(run.zone == self.zone for view in self._book.on(name)
                    for run in view.record.runs_on.get(name, ())):
@@ -572,44 +572,48 @@
             view = self._book.get(turn.record.id)
             if view is None or view.staged.phase is not Phase.OPEN:
                 continue
-            # As staged by now: the leader may have allotted it in this same round.
-            record = turn.record = view.staged
-            most = min(record.allot.get(self.zone, 0) - record.placed(self.zone), record.missing_count())
-            if most <= 0 or self.back_off.get(record.id, 0.0) > now:
+            turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
+            try:
+                left = self._place_job(view, turn, rooms, spare, headroom.serves(turn.record.spec), now)
+            except Exception:
+                # One job that meets a fault of ours must not keep all others waiting.
+                log.exception("job %s can't be placed", view.id)
                 continue
-            if view.planned("place"):
-                continue
-            if record.spec.gang and (record.runs or most < record.missing_count()):
-                self._gather(view)  # what is left of it stops, then it starts again whole
-                continue
-            most_runs = self._runs_left(record)
-            if most_runs <= 0:
-                continue  # the record is as large as it may get; it goes on as tasks end
-            bad = self.errors.get(record.id, {})
-            bad = self.errors.get(record.id, {})
-            ready = headroom.serves(record.spec)
-            usable, others = (rooms, spare) if ready else (spare, rooms)
-            if record.spec.gang and usable.free(record.spec, self.zone, turn.pressing) < most:
-                waiting.append((turn, most))
-                continue
-            allowed = (lambda room, bad=bad: room.machine not in bad) if 0 < len(bad) < 3 else None
-            placements = usable.fill(
-                record, self.zone, most if record.spec.gang else min(most, 400), turn.pressing, allowed
-            )
-            if len(placements) > most_runs and not record.spec.gang:
-                # The fullest pieces: a record over the limit would be refused whole, again and again.
-                placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
-            got = sum(p.count for p in placements)
-            for placement in placements:
-                occupy(others.by_name[placement.machine], record.spec, placement.count)
-            if placements:
-                log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
-                self._change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
-            if got < most:
-                waiting.append((turn, most - got))
+            if left > 0:
+                waiting.append((turn, left))
         self._short = any(turn.record.spec.service for turn, _ in waiting)
         self._preempt(waiting, turns)
 
+    def _place_job(self, view: JobView, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
+        """Places what there is room for; returns how many tasks lack it. `spare`: the rooms less what is
+        kept ready for others; `ready`: this job is one of those."""
+        record = turn.record
+        spec = record.spec
+        most = min(record.allot.get(self.zone, 0) - record.placed(self.zone), record.missing_count())
+        if most <= 0 or self.back_off.get(record.id, 0.0) > now or view.planned("place"):
+            return 0
+        if spec.gang and (record.runs or most < record.missing_count()):
+            self._gather(view)  # what is left of it stops, then it starts again whole
+            return 0
+        most_runs = self._runs_left(record)
+        if most_runs <= 0:
+            return 0  # the record is as large as it may get; it goes on as tasks end
+        usable, others = (rooms, spare) if ready else (spare, rooms)
+        if spec.gang and usable.free(spec, self.zone, turn.pressing) < most:
+            return most
+        bad = self.errors.get(record.id, {})
+        allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
+        placements = usable.fill(record, self.zone, most if spec.gang else min(most, 400), turn.pressing, allowed)
+        if len(placements) > most_runs and not spec.gang:
+            # The fullest pieces: a record over the limit would be refused whole, again and again.
+            placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
+        for placement in placements:
+            occupy(others.by_name[placement.machine], spec, placement.count)
+        if placements:
+            log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
+            self._change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
+        return most - sum(p.count for p in placements)
+
     def _runs_left(self, record: JobRecord) -> int:
         """On how many more machines tasks may be placed before the record is as large as a value may be."""
         if len(record.runs) + record.missing_count() <= SAFE_RUNS:
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -160,7 +160,12 @@
                 kept = True
                 shortages += self._keep_room(ready, rooms, rentable)
             view = self._book.jobs[turn.record.id]
-            allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
+            try:
+                allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
+            except Exception:
+                # One job that meets a fault of ours must not keep all others waiting.
+                log.exception("job %s can't be split", view.id)
+                continue
             shortages += short
             if allotment != turn.record.allot and not view.planned("allot", "place"):
                 pending = Pending(records.allot(allotment), int(Urgency.PLACE), self._clock.mono(), condition,
--- a/src/cloverplank/fleet/returning.py
+++ b/src/cloverplank/fleet/returning.py
@@ -24,6 +24,9 @@
         """Why tasks should leave it; None where it stays, or is gone."""
         return self._draining.get(machine)
 
+    def gone(self, machine: MachineId) -> bool:
+        return machine in self._gone
+
     def news(self, key: str) -> list[MachineId]:
         """A key has changed: the machines that are gone since."""
         found = self._mirror.value(key, ReturnRecord)
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -4,8 +4,13 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
+from cloverplank.fleet.holder import Unanswered
 from cloverplank.fleet.machines import Machine
 from cloverplank.kinds import Baton, MachineId, Mono, TaskRef, Zone
+from cloverplank.net.messages import NoRoom
 from cloverplank.wire.workers import Report, ReportedTask
 
 from .test_world import check
@@ -57,6 +62,9 @@
     one = machine()
     one.answered_at = Mono(100.0)
     assert one.gone_at(12.0, Mono(140.0)) == 140.0
+    one.answered_at = Mono(139.0)  # by us, before it showed our baton: this may have renewed its lease, too
+    assert 151.0 < one.gone_at(12.0, Mono(140.0)) < 152.0
+    one.answered_at = Mono(100.0)
     one.fenced = True
     assert 112.0 < one.gone_at(12.0, Mono(140.0)) < 113.0
 
@@ -132,3 +140,102 @@
         check(world)
 
     run(play())
+
+
+def test_a_late_copy_of_a_report_is_no_report() -> None:
+    """Answering it as one would reckon the lease of a dead machine from its copies."""
+    one = machine()
+    for number in (4, 5):
+        assert one.fresh(report(1, number))
+        one.reported = (1, number)
+    assert not one.fresh(report(1, 5)) and not one.fresh(report(1, 2))
+    # Overtaken by the answer to an order: older than what we know, but a worker waits for its answer.
+    one.take(report(1, 9), Baton(5), Mono(1.0), False)
+    assert one.fresh(report(1, 7)) and not one.newer(report(1, 7))
+
+
+def heard(world: World) -> tuple[object, object]:
+    """The holder, and a machine with tasks."""
+    controller = next(c for c, _ in world.controllers.values() if c.blocks)
+    return controller, next(m for m in world.machines.values() if m.alive and m.tasks)
+
+
+def test_a_late_copy_does_not_bring_a_released_machine_back() -> None:
+    async def play() -> None:
+        world, spec = start_with_service(5)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, machine = heard(world)
+        copy = msgspec.msgpack.encode(machine.report())
+        machine.die()
+        await asyncio.sleep(25)
+        assert machine.released
+        for other, _ in world.controllers.values():
+            assert other._report(copy).status == 503
+        assert machine.id not in next(iter(controller.blocks.values())).machines
+        check(world)
+
+    run(play())
+
+
+@pytest.mark.parametrize("cloud_down", [False, True])
+def test_a_machine_that_is_heard_but_does_not_hear_loses_its_tasks_and_is_returned(cloud_down: bool) -> None:
+    """Its lease runs out again and again while every report made it look healthy: its job waited there."""
+
+    async def play() -> None:
+        world, spec = start_with_service(6)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        _, machine = heard(world)
+        world.deaf.add(machine.id)
+        world.cloud.down = cloud_down
+        await asyncio.sleep(50)
+        elsewhere = sum(len(ms - {machine.id}) for ms in world.rules.where.values())
+        assert not machine.tasks and (cloud_down or elsewhere == 6)
+        world.cloud.down = False
+        await asyncio.sleep(30)
+        assert machine.released
+        assert sum(len(ms) for ms in world.rules.where.values()) == 6
+        check(world)
+
+    run(play())
+
+
+def test_a_machine_that_shows_none_of_our_batons_is_not_answered_for_ever() -> None:
+    """Each answer might have renewed a lease, so its tasks were never proven gone."""
+
+    async def play() -> None:
+        world, spec = start_with_service(7)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, machine = heard(world)
+        block = next(iter(controller.blocks.values()))
+        old = Report(machine.id, machine.stint, machine.tally, 0, machine.addr, machine.type, machine.zone)
+        with pytest.raises(Unanswered):
+            for number in range(1, 9):
+                block.on_report(msgspec.structs.replace(old, seq=machine.tally + number))
+
+    run(play())
+
+
+def test_a_failed_probe_for_want_of_our_own_sockets_says_nothing_of_the_machine() -> None:
+    """A holder with its hands full released machines that were well."""
+
+    async def play() -> None:
+        world, spec = start_with_service(8)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, machine = heard(world)
+        block = next(iter(controller.blocks.values()))
+
+        async def no_socket(*args, **more) -> None:  # noqa: ANN002, ANN003
+            raise NoRoom("no free connection")
+
+        block._http.request = no_socket
+        mine = block.machines[machine.id]
+        mine.proven = False
+        block._probes += 1
+        await block._ask(mine)
+        assert mine.lost_since is None
+
+    run(play())
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -216,3 +216,92 @@
     assert view.staged.placed() == 2
     book.unstage(view, [pending])
     assert view.staged == view.record and view.staged.missing_count() == 2
+
+
+class OneBook(RuleBasedStateMachine):
+    """Changes staged, committed, dropped and told by the watch, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.book = Book()
+        self.stamp = 0
+        for number in range(2):
+            record = records.allot({"a": 8})(JobRecord(spec(id=f"run-{number}", vcpus=1.0 + number), 0))
+            assert record is not None
+            self.commit(record)
+
+    def commit(self, record: JobRecord) -> None:
+        self.stamp += 1
+        self.book.apply(record.id, record, Stamp(self.stamp))
+
+    @rule(number=st.integers(0, 1), machine=st.sampled_from("xyz"), count=st.integers(1, 5))
+    def place(self, number: int, machine: str, count: int) -> None:
+        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        change = records.place([Placement(machine, "a", count)], view.staged.next)  # type: ignore[arg-type]
+        self.book.stage(view, Pending(change, 3, Mono(0.0)))
+
+    @rule(number=st.integers(0, 1), machine=st.sampled_from("xyz"))
+    def evict(self, number: int, machine: str) -> None:
+        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        self.book.stage(view, Pending(records.evict(machine, WallMs(1)), 3, Mono(0.0)))
+
+    @rule(number=st.integers(0, 1), merged=st.integers(0, 3), answered=st.booleans())
+    def settle(self, number: int, merged: int, answered: bool) -> None:
+        """Some of what is pending is committed, or dropped."""
+        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        some = view.pending[:merged]
+        if answered:
+            record = view.record
+            for pending in some:
+                record = pending.change(record) or record
+            self.commit(record)
+        self.book.unstage(view, some)
+
+    @invariant()
+    def loads_and_index_are_those_of_the_records(self) -> None:
+        """A machine stayed in the index of a job that had left it before the commit: busy for ever."""
+        for machine in "xyz":
+            views = list(self.book.jobs.values())
+            on = {v.id for v in views if machine in v.record.runs_on or machine in v.staged.runs_on}
+            assert {v.id for v in self.book.on(machine)} == on  # type: ignore[arg-type]
+            load = self.book.load(machine)  # type: ignore[arg-type]
+            tasks = [(v, sum(ranges.count(r.tasks) for r in v.staged.runs if r.machine == machine)) for v in views]
+            assert load.tasks == sum(n for _, n in tasks)
+            assert load.cpus == sum(v.record.spec.cpus * n for v, n in tasks)
+
+
+TestOneBook = OneBook.TestCase
+TestOneBook.settings = settings(max_examples=60, stateful_step_count=25)
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 8), st.integers(0, 8), st.booleans(), st.booleans()), max_size=8),
+    st.lists(st.tuples(st.integers(1, 5), st.integers(1, 5), st.booleans(), st.booleans(), st.integers(1, 6)), max_size=8),
+)
+def test_what_is_remembered_to_lack_room_changes_no_placement(machines: list, jobs: list) -> None:
+    """Rounds under a backlog pass over jobs where an easier one found no room."""
+
+    def rooms() -> placing.Rooms:
+        return placing.Rooms(
+            Room(f"m-{n}", "a", "g8", spot, float(cpus), 0.0, float(memory), empty=empty)  # type: ignore[arg-type]
+            for n, (cpus, memory, spot, empty) in enumerate(machines)
+        )
+
+    remembering, plain = rooms(), rooms()
+    for cpus, memory, spot, pressing, tasks in jobs:
+        record = JobRecord(spec(vcpus=float(cpus), ram_gb=float(memory), loaners=spot, pieces=6), 0)
+        plain._hopeless.clear()
+        assert remembering.fill(record, "a", tasks, pressing) == plain.fill(record, "a", tasks, pressing)  # type: ignore[arg-type]
+
+
+def test_no_job_waits_for_ever_for_its_first_task() -> None:
+    """A stream of guaranteed and of small jobs passed a large one again and again."""
+    def order(waited_ms: int, **more) -> list[str]:  # noqa: ANN003
+        large = JobRecord(spec(id="run-1", crew="red", rank="standard", pieces=400, guess_s=90.0), 0, **more)
+        small = [JobRecord(spec(id=f"run-{n}", crew="blue", rank="urgent", pieces=1), waited_ms) for n in (2, 3)]
+        turns = placing.in_order([large, *small], {"blue": (9.0, 0.0)}, {"red": 9.0, "blue": 9.0}, WallMs(waited_ms))
+        return [t.record.id for t in turns]
+
+    assert order(5_000)[0] != "run-1"
+    assert order(placing.FAR_OVERDUE_MS + 1)[0] == "run-1"
+    assert order(placing.FAR_OVERDUE_MS + 1, done=[0, 0])[0] != "run-1"  # it has begun
