--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -8,7 +8,7 @@
 
 from cloverplank.kinds import JobId, Zone
 
-from .placing import TINY, Room, Turn, fill, first_rooms, room_for, zone_cap
+from .placing import TINY, Rooms, Turn, zone_cap
 from .records import JobRecord
 
 
@@ -102,7 +102,7 @@
 
 
 def split(
-    turn: Turn, total: int, zones: dict[Zone, float], rooms: Sequence[Room], rentable: Callable[[Zone], bool]
+    turn: Turn, total: int, zones: dict[Zone, float], rooms: Rooms, rentable: Callable[[Zone], bool]
 ) -> tuple[dict[str, int], list[Shortage]]:
     """Where a job's tasks may go. What is placed stays; only the missing are split.
 
@@ -111,7 +111,7 @@
     record = turn.record
     spec = record.spec
     placed = {zone: record.placed(zone) for zone in zones}
-    extra = total - sum(placed.values())
+    extra = total - record.placed()
     allotment = {zone: count for zone, count in placed.items() if count}
     if extra <= 0:
         return allotment, []
@@ -126,34 +126,32 @@
         most = min(most, cap[zone] - wanted[zone])
         if most <= 0:
             return 0
-        got = sum(p.count for p in fill(record, zone, rooms, most, turn.pressing))
+        got = sum(p.count for p in rooms.fill(record, zone, most, turn.pressing))
         wanted[zone] += got
         return got
 
     for zone in allowed:  # first what stays
         extra -= put(zone, min(free[zone], extra))
     weights = {z: zones[z] for z in allowed}
-    room = {
-        z: min(cap[z] - wanted[z], sum(room_for(spec, r) for r in first_rooms(
-            spec, (r for r in rooms if r.zone == z), turn.pressing))) for z in allowed
-    }
-    for zone, part in by_weight(extra, weights, room).items():
-        extra -= put(zone, part)
+    if extra > 0:
+        room = {z: min(cap[z] - wanted[z], rooms.free(spec, z, turn.pressing)) for z in allowed}
+        for zone, part in by_weight(extra, weights, room).items():
+            extra -= put(zone, part)
     shortages: list[Shortage] = []
     if extra > 0:
-        # No room anywhere: they wait, where they waited before or where a machine may be had.
-        waiting = dict.fromkeys(allowed, 0)
-        for zone in allowed:
-            stay = min(extra, free[zone] - wanted[zone], cap[zone] - wanted[zone])
-            if stay > 0 and rentable(zone):
-                waiting[zone] += stay
-                extra -= stay
-        left = {z: cap[z] - wanted[z] - waiting[z] for z in allowed}
+        # No room anywhere: they wait where they waited before, the rest where a machine may be had. What
+        # waits does not move when the cloud refuses a zone for a while: each move is a change of its record.
+        short = extra
+        left = {z: cap[z] - wanted[z] for z in allowed}
         open_zones = {z: w for z, w in weights.items() if rentable(z)} or weights
-        for zone, part in by_weight(extra, open_zones, left).items():
-            waiting[zone] += part
-        for zone, count in waiting.items():
-            wanted[zone] += count
+        for zone in allowed:
+            stay = max(0, min(extra, free[zone] - wanted[zone], left[zone]))
+            wanted[zone] += stay
+            extra -= stay
+        rest = {z: cap[z] - wanted[z] for z in allowed}
+        for zone, part in by_weight(extra, open_zones, rest).items():
+            wanted[zone] += part
+        for zone, count in by_weight(short, open_zones, left).items():
             if count:
                 shortages.append(Shortage(turn, zone, count))
     for zone, count in wanted.items():
@@ -163,7 +161,7 @@
 
 
 def _one_zone(
-    record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Sequence[Room], extra: int
+    record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Rooms, extra: int
 ) -> list[Zone]:
     there = [z for z in placed if placed[z]]
     if there:
@@ -171,6 +169,6 @@
     if len(allowed) <= 1:
         return allowed
     kept = [z for z in allowed if record.allot.get(z, 0)]
-    room = {z: sum(room_for(record.spec, r) for r in rooms if r.zone == z) for z in allowed}
+    room = {z: rooms.free(record.spec, z) for z in allowed}
     best = max(allowed, key=lambda z: (min(room[z], extra), z in kept))
     return [best]
