--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -43,7 +43,9 @@
 
 ROUND_S = 0.04  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
-ROUND_PART = 0.25  # of the processor that rounds may take: reports and leases come first
+ROUND_PART = 0.15  # of the processor that rounds may take: reports and leases come first
+STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
+MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
 NOTE_S = 0.1  # between two notes of the own machines in the roster
 MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
 SHY_S = 20.0
@@ -363,11 +365,13 @@
             turn.pressing = turn.guaranteed or turn.overdue > 0 or self.targets.pressing(turn.record, now)
         return turns
 
-    def round(self) -> None:
+    def round(self, news: bool = True) -> None:
         self._update_blocks()
         self._watch_former()
         for block in self.blocks.values():
             block.check_machines()
+        if not news:
+            return
         leads = self.session.leads() is not None
         if not leads and not self.blocks:
             return
@@ -382,16 +386,20 @@
                 block.settle_evictions()
 
     async def _rounds(self) -> None:
+        full_at = Mono(-1e9)
         while True:
             try:
                 async with asyncio.timeout(IDLE_ROUND_S):
                     await self._kicked.wait()
             except TimeoutError:
                 pass
-            self._kicked.clear()
             began = self._clock.mono()
+            news = self._kicked.is_set() or began - full_at >= STILL_S
+            if news:
+                full_at = began
+            self._kicked.clear()
             try:
-                self.round()
+                self.round(news)
             except Exception:
                 log.exception("round failed")
             took = self._clock.mono() - began
@@ -493,6 +501,7 @@
             await asyncio.sleep(pause if self._types else min(pause, 1.0))
 
     async def _hints(self) -> None:
+        turn = 0
         while True:
             now = self._clock.mono()
             for heard in self._heard.values():
@@ -504,14 +513,19 @@
                 [], {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
                 now < self.session.shy_until, self.queue.need(),
             )
-            machines = self._machine_hints()
+            leader = self.session.leader()
+            everybody = turn % MACHINE_HINTS == 0
+            full = {p.label for p in self.platform.peers if everybody or (leader and leader[0].node == p.label)}
+            machines = self._machine_hints() if full else []
             # In parts: the machines of a large block in one message were refused for its size.
-            bodies = [
+            parts = [
                 encode(msgspec.structs.replace(hint, machines=machines[at:at + MACHINES_A_HINT]))
                 for at in range(0, max(1, len(machines)), MACHINES_A_HINT)
             ]
+            short = [encode(hint)]
             for peer in self.platform.peers:
-                self._spawn(self._hint(peer.peer_addr, bodies))
+                self._spawn(self._hint(peer.peer_addr, parts if peer.label in full else short))
+            turn += 1
             close_idle = getattr(self._http, "close_idle", None)
             if close_idle is not None:
                 close_idle()
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -570,7 +570,7 @@
         waiting: list[tuple[Turn, int]] = []
         for turn in turns:
             view = self._book.get(turn.record.id)
-            if view is None or view.staged.phase is not Phase.OPEN:
+            if view is None or not view.staged.missing_count():
                 continue
             turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
             try:
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -159,7 +159,10 @@
             if not kept and not turn.guaranteed and not turn.overdue and not self._headroom.serves(turn.record.spec):
                 kept = True
                 shortages += self._keep_room(ready, rooms, rentable)
-            view = self._book.jobs[turn.record.id]
+            record = turn.record
+            if not record.missing_count() and record.allot == record.by_zone:
+                continue  # all it wants is placed
+            view = self._book.jobs[record.id]
             try:
                 allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
             except Exception:
@@ -167,7 +170,7 @@
                 log.exception("job %s can't be split", view.id)
                 continue
             shortages += short
-            if allotment != turn.record.allot and not view.planned("allot", "place"):
+            if allotment != record.allot and not view.planned("allot", "place"):
                 pending = Pending(records.allot(allotment), int(Urgency.PLACE), self._clock.mono(), condition,
                                   plan="allot")
                 self._queue.change(view, pending)
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -70,7 +70,8 @@
         return found
 
     @cached_property
-    def _by_zone(self) -> dict[str, int]:
+    def by_zone(self) -> dict[str, int]:
+        """Tasks on machines, by zone."""
         found: dict[str, int] = {}
         for run in self.runs:
             found[run.zone] = found.get(run.zone, 0) + ranges.count(run.tasks)
@@ -78,7 +79,7 @@
 
     @cached_property
     def _placed(self) -> int:
-        return sum(self._by_zone.values())
+        return sum(self.by_zone.values())
 
     @cached_property
     def done_count(self) -> int:
@@ -93,7 +94,7 @@
         return placed + min(free, self.missing_count())
 
     def placed(self, zone: str | None = None) -> int:
-        return self._placed if zone is None else self._by_zone.get(zone, 0)
+        return self._placed if zone is None else self.by_zone.get(zone, 0)
 
     def placed_on(self, machine: str) -> int:
         return sum(ranges.count(run.tasks) for run in self.runs_on.get(machine, ()))
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -42,4 +42,5 @@
     # What was made at the start stays; collections look at the rest only.
     gc.collect()
     gc.freeze()
+    gc.set_threshold(10_000, 20, 20)
     asyncio.run(_serve(platform, operator))
