--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -587,7 +587,7 @@
         if most_runs <= 0:
             return 0  # the record is as large as it may get; it goes on as tasks end
         usable, others = (rooms, spare) if ready else (spare, rooms)
-        if spec.gang and usable.free(spec, self.zone, turn.pressing) < most:
+        if spec.gang and usable.free(spec, self.zone, most, turn.pressing) < most:
             return most
         bad = self.errors.get(record.id, {})
         allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -134,7 +134,7 @@
         extra -= put(zone, min(free[zone], extra))
     weights = {z: zones[z] for z in allowed}
     if extra > 0:
-        room = {z: min(cap[z] - wanted[z], rooms.free(spec, z, turn.pressing)) for z in allowed}
+        room = {z: rooms.free(spec, z, max(0, min(extra, cap[z] - wanted[z])), turn.pressing) for z in allowed}
         for zone, part in by_weight(extra, weights, room).items():
             extra -= put(zone, part)
     shortages: list[Shortage] = []
@@ -169,6 +169,6 @@
     if len(allowed) <= 1:
         return allowed
     kept = [z for z in allowed if record.allot.get(z, 0)]
-    room = {z: rooms.free(record.spec, z) for z in allowed}
+    room = {z: rooms.free(record.spec, z, extra) for z in allowed}
     best = max(allowed, key=lambda z: (min(room[z], extra), z in kept))
     return [best]
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -66,33 +66,26 @@
     room.used = True
 
 
-def _order(spec: JobSpec) -> Callable[[Room], tuple]:
-    """In which machines are tried: up, spot for who may use it, with the image, the fullest."""
-    return lambda r: (
-        not r.real, spec.spot and not r.spot, spec.image not in r.images, r.empty, r.cpus, r.machine
-    )
-
-
 class Rooms:
     """What machines have left in one round, by zone.
 
-    Room only shrinks while a round goes on. So what found none is remembered: under a backlog,
-    most jobs then need no look at hundreds of full machines.
+    Two things keep a look at hundreds of machines from being made for each job. Machines are sorted once,
+    by how full they are when the round begins, and looked through only until a job has what it wants. And
+    room only shrinks while a round goes on, so what found none is remembered: where an easier job has found
+    none, there is none.
     """
 
     def __init__(self, rooms: Iterable[Room], least_cpus: float = 0.0) -> None:
         """`least_cpus`: what has less left is passed over, since no task of this round can use it."""
-        self.by_zone: dict[Zone, list[Room]] = {}
-        self.by_name: dict[MachineId, Room] = {}
-        for room in rooms:
-            if room.cpus + TINY >= least_cpus:
-                self.by_zone.setdefault(room.zone, []).append(room)
-                self.by_name[room.machine] = room
+        self.by_name: dict[MachineId, Room] = {
+            room.machine: room for room in rooms if room.cpus + TINY >= least_cpus
+        }
         self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
+        self._groups: dict[tuple[Zone, bool, bool], list[Room]] | None = None  # by zone, up or not, spot or not
+        self._with_image: dict[tuple[Zone, bool, bool, str], list[Room]] = {}
 
     def __iter__(self) -> Iterator[Room]:
-        for rooms in self.by_zone.values():
-            yield from rooms
+        return iter(self.by_name.values())
 
     def copy(self) -> Rooms:
         return Rooms(msgspec.structs.replace(room) for room in self)
@@ -100,7 +93,28 @@
     def without(self, machine: MachineId) -> Rooms:
         return Rooms(room for room in self if room.machine != machine)
 
-    def first(self, spec: JobSpec, zone: Zone, pressing: bool = True) -> list[Room]:
+    def _sort(self) -> dict[tuple[Zone, bool, bool], list[Room]]:
+        groups = self._groups = {}
+        for room in sorted(self.by_name.values(), key=lambda r: (r.empty, r.cpus, r.machine)):
+            group = (room.zone, room.real, room.spot)
+            groups.setdefault(group, []).append(room)
+            for image in room.images:
+                self._with_image.setdefault((*group, image), []).append(room)
+        return groups
+
+    def _in_order(self, spec: JobSpec, zone: Zone) -> Iterator[Room]:
+        """Up, spot for who may use it, with the image, the fullest."""
+        groups = self._groups if self._groups is not None else self._sort()
+        for real in (True, False):
+            for spot in (True, False) if spec.spot else (False, True):
+                if (zone, real, spot) not in groups:
+                    continue
+                yield from self._with_image.get((zone, real, spot, spec.image), ())
+                for room in groups[zone, real, spot]:
+                    if spec.image not in room.images:
+                        yield room
+
+    def first(self, spec: JobSpec, zone: Zone, pressing: bool = True) -> Iterator[Room]:
         """Those with room for a task, in the order in which they are tried.
 
         Bursts of what is not pressing would otherwise keep every ordinary machine from ever being idle.
@@ -108,21 +122,28 @@
         known = self._hopeless.setdefault((zone, pressing), [])
         for other in known:
             if _no_easier(spec, other):
-                return []
+                return
         cpus, memory_gb = spec.cpus - TINY, spec.memory_gb - TINY
         wakes = pressing or not spec.spot
-        fit = [
-            room for room in self.by_zone.get(zone, ())
-            if room.cpus >= cpus and room.memory_gb >= memory_gb
-            and (wakes or room.spot or not room.empty) and room_for(spec, room) > 0
-        ]
-        if not fit:
+        found = False
+        for room in self._in_order(spec, zone):
+            if (
+                room.cpus >= cpus and room.memory_gb >= memory_gb
+                and (wakes or room.spot or not room.empty) and room_for(spec, room) > 0
+            ):
+                found = True
+                yield room
+        if not found:
             known.append(spec)
-        fit.sort(key=_order(spec))
-        return fit
 
-    def free(self, spec: JobSpec, zone: Zone, pressing: bool = True) -> int:
-        return sum(room_for(spec, room) for room in self.first(spec, zone, pressing))
+    def free(self, spec: JobSpec, zone: Zone, most: int, pressing: bool = True) -> int:
+        """For how many tasks there is room, up to `most`."""
+        have = 0
+        for room in self.first(spec, zone, pressing):
+            have += room_for(spec, room)
+            if have >= most:
+                return most
+        return have
 
     def fill(
         self, record: JobRecord, zone: Zone, most: int, pressing: bool = True,
@@ -130,15 +151,17 @@
     ) -> list[Placement]:
         """Puts up to `most` missing tasks of a job into the rooms of a zone, and takes the room."""
         result: list[Placement] = []
+        if most <= 0:
+            return result
         for room in self.first(record.spec, zone, pressing):
-            if most <= 0:
-                break
             if allowed is not None and not allowed(room):
                 continue
             tasks = min(most, room_for(record.spec, room))
             occupy(room, record.spec, tasks)
             result.append(Placement(room.machine, zone, tasks))
             most -= tasks
+            if most <= 0:
+                break
         return result
 
 
