--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -99,6 +99,7 @@
     # -- submission
 
     async def _submit(self, body: bytes) -> Response:
+        began = self._clock.mono()
         try:
             spec = decode_submission(body)
         except BadMessage as err:
@@ -129,7 +130,8 @@
             result = await self._queue.commit(commit, Urgency.SUBMIT, once=True)
         if result.failed:
             return answer(200, self._state(job, await self._existing(job)))
-        log.info("accepted %s: %s %s of %s, %d tasks", job, spec.rank, spec.job_class, spec.team, spec.tasks)
+        log.info("accepted %s: %s %s of %s, %d tasks, in %.0f ms", job, spec.rank, spec.job_class, spec.team,
+                 spec.tasks, 1000 * (self._clock.mono() - began))
         return answer(201, JobAnswer(job, "pending"))
 
     async def _existing(self, job: JobId) -> JobRecord | Phase:
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -72,7 +72,7 @@
         count = 1 + len(platform.peers)
         self.client = StateClient(
             http, platform.outside.state, clock,
-            Budget(facts.state.rps / count, clock), Budget(facts.state.write_rps / count, clock),
+            Budget(facts.state.rps / count, clock), Budget(facts.state.write_rps / count, clock, least=4.0),
         )
         self.book = Book()
         self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * facts.state.rps)))
--- a/src/cloverplank/state/client.py
+++ b/src/cloverplank/state/client.py
@@ -26,11 +26,13 @@
 
 
 class Budget:
-    """Requests or changes a second with bursts of up to `depth` seconds' worth."""
+    """Requests or changes a second with bursts of up to `depth` seconds' worth, and of `least` at least: a
+    controller with a small share has few changes to make, but those of its users come together."""
 
-    def __init__(self, rate: float, clock: Clock, depth: float = 0.5) -> None:
+    def __init__(self, rate: float, clock: Clock, depth: float = 0.5, least: float = 1.0) -> None:
         self._clock = clock
         self._depth = depth
+        self._least = least
         self.rate = rate
         self._level = rate * depth
         self._at = clock.mono()
@@ -38,7 +40,7 @@
 
     def _refill(self) -> None:
         now = self._clock.mono()
-        self._level = min(max(1.0, self.rate * self._depth), self._level + (now - self._at) * self.rate)
+        self._level = min(max(self._least, self.rate * self._depth), self._level + (now - self._at) * self.rate)
         self._at = now
 
     def take(self, amount: float = 1.0, least: float = 0.0) -> bool:
