Rounds in steps, so that submissions to a busy leader are answered between them

Ruled out: refusals by the state service. Machines being packed were chosen with the room kept ready counted on themselves, and dropped again at once.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import random
+from collections.abc import Iterator
 
 import msgspec
 
@@ -43,7 +44,7 @@
 
 ROUND_S = 0.04  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
-ROUND_PART = 0.2  # of the processor that rounds may take: reports and leases come first
+ROUND_PART = 0.15  # of the processor that rounds may take: reports and leases come first
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
 MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
 NOTE_S = 0.1  # between two notes of the own machines in the roster
@@ -365,25 +366,37 @@
             turn.pressing = turn.guaranteed or turn.overdue > 0 or self.targets.pressing(turn.record, now)
         return turns
 
-    def round(self, news: bool = True) -> None:
+    def _steps(self, news: bool) -> Iterator[None]:
+        """One round, in steps between which requests are answered: in one piece, it held up submissions
+        that come to a leader of hundreds of machines. Each step looks at things as they are by then."""
         self._update_blocks()
         self._watch_former()
         for block in self.blocks.values():
             block.check_machines()
-        if not news:
-            return
         leads = self.session.leads() is not None
-        if not leads and not self.blocks:
+        if not news or not (leads or self.blocks):
             return
+        yield
         self._note_own()
         turns = self.turns()
         if leads:
             self.leader.round(turns)
-        if self.blocks:
-            for block in self.blocks.values():
-                block.place(turns, self.headroom)
-                block.pack(self.headroom)
-                block.settle_evictions()
+        for block in list(self.blocks.values()):
+            yield
+            block.place(turns, self.headroom)
+            yield
+            block.pack(self.headroom)
+            block.settle_evictions()
+
+    async def _round(self, news: bool) -> float:
+        """Returns how long its own work took."""
+        took = 0.0
+        began = self._clock.mono()
+        for _ in self._steps(news):
+            took += self._clock.mono() - began
+            await asyncio.sleep(0)
+            began = self._clock.mono()
+        return took + self._clock.mono() - began
 
     async def _rounds(self) -> None:
         full_at = Mono(-1e9)
@@ -393,16 +406,16 @@
                     await self._kicked.wait()
             except TimeoutError:
                 pass
-            began = self._clock.mono()
-            news = self._kicked.is_set() or began - full_at >= STILL_S
+            now = self._clock.mono()
+            news = self._kicked.is_set() or now - full_at >= STILL_S
             if news:
-                full_at = began
+                full_at = now
             self._kicked.clear()
+            took = 0.0
             try:
-                self.round(news)
+                took = await self._round(news)
             except Exception:
                 log.exception("round failed")
-            took = self._clock.mono() - began
             await asyncio.sleep(max(ROUND_S, took * (1 / ROUND_PART - 1)))
 
     async def _govern(self) -> None:
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -106,7 +106,6 @@
                 used = kind.cpus - room.cpus
                 dear = (kind.price if not room.spot else kind.spot_price or kind.price) / max(1.0, kind.cpus)
                 found.append((used / kind.cpus > 0.5, -dear, used, room.machine))
-        spare: Rooms | None = None
         tries = 0
         for _, _, _, name in sorted(found):
             machine = block.machines[name]
@@ -116,9 +115,9 @@
             tries += 1
             if tries > TRIES or len(self.emptying) >= most:
                 return
-            spare = spare or headroom.reserve(rooms, block.zone, block.clock.wall())
-            trial = spare.copy()
-            if self._fits_elsewhere(views, machine, trial):
-                spare = trial.without(name)
+            # Without the machine itself: what is kept ready must have its room elsewhere, too.
+            rest = rooms.without(name)
+            if self._fits_elsewhere(views, machine, headroom.reserve(rest, block.zone, block.clock.wall())):
+                rooms = rest
                 self.emptying[name] = Mono(now - MOVE_PAUSE_S)
                 log.info("pack: emptying machine %s", name)
