--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -11,7 +11,7 @@
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import Room, Rooms, Turn, occupy
+from cloverplank.jobs.placing import TINY, Room, Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
@@ -40,6 +40,7 @@
 PROBE_S = 1.0
 MAX_PROBES = 48  # at once: more would take the sockets that orders need
 ASK_AGAIN_S = 5.0  # between two questions to a machine that did not answer the first
+CHECK_S = 0.2  # between two looks at all machines for silence
 LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
 UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
 UNRESOLVED_S = 3.0
@@ -108,6 +109,7 @@
         self._short = False  # a replica lacked room in the last round
         self._jobs_tasks: set[asyncio.Task] = set()
         self._probes = 0
+        self._checked_at = Mono(-1e9)
 
     @property
     def conditions(self) -> list[Condition]:
@@ -264,6 +266,8 @@
 
     def faulty(self, machine: Machine) -> bool:
         """Errors of jobs that don't fail elsewhere, too."""
+        if not machine.failed_jobs:
+            return False
         blame = sum(1 for job in machine.failed_jobs if len(self.errors.get(JobId(job), ())) < 3)
         return blame >= self._limits.faulty_errors
 
@@ -416,6 +420,9 @@
         """Silence becomes a taint, a taint evicts; a return within the lease is as if nothing was."""
         now = self.clock.mono()
         limits = self._limits
+        if now - self._checked_at < CHECK_S:
+            return
+        self._checked_at = now
         for name in [m for m in self.book.by_machine if m not in self.machines and not self._returning.gone(m)]:
             # Placed by a former holder on a machine that nobody has told us of yet.
             if any(run.zone == self.zone for view in self.book.on(name)
@@ -542,6 +549,8 @@
             kind = types.get(machine.type)
             if kind is None or machine.health is not Health.UP or machine.ends_at is not None:
                 continue
+            if self.book.load(machine.id).cpus + least_cpus > kind.cpus + TINY:
+                continue  # full for this round: under a backlog most are
             if machine.id in self._returning or self.faulty(machine) or machine.id in self._packing.emptying:
                 continue
             result.append(room_of(machine.id, self.zone, kind, machine.spot, machine.images, self.book))
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -12,7 +12,7 @@
 from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit, Shortage
-from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, Room, Rooms, Targets, Turn
+from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, TINY, Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import Phase
 from cloverplank.kinds import Clock, MachineId, Mono, NodeId, Stamp, Zone
 from cloverplank.settings.operator import Operator
@@ -190,7 +190,9 @@
         result: list[Room] = []
         for known in self._roster.known.values():
             kind = types.get(known.type)
-            if kind is None or not self._usable(known):
+            if kind is None or self._book.load(known.id).cpus + least_cpus > kind.cpus + TINY:
+                continue
+            if not self._usable(known):
                 continue
             up = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
             result.append(room_of(known.id, known.zone, kind, known.spot, known.images, self._book, up))
