--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -26,7 +26,7 @@
 
 from .machines import Health, Machine
 from .packing import Packing
-from .preempting import Preemption
+from .preempting import Preemption, Turnover
 from .returning import Returning
 
 log = logging.getLogger("cloverplank.holder")
@@ -106,6 +106,7 @@
         self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
         self.back_off: dict[JobId, Mono] = {}
         self._packing = Packing(self)
+        self.turnover = Turnover(clock)
         self._short = False  # a replica lacked room in the last round
         self._jobs_tasks: set[asyncio.Task] = set()
         self._probes = 0
@@ -231,6 +232,8 @@
             if task.state != "ended":
                 continue
             done = task.why == "done"
+            if not view.record.spec.service:
+                self.turnover.freed(view.record.spec.cpus)
             if task.why == "error":
                 self._error(machine, ref.job)
             ended.setdefault(ref.job, []).append(Ended(ref.index, ref.attempt, machine.id, done))
--- a/src/cloverplank/fleet/preempting.py
+++ b/src/cloverplank/fleet/preempting.py
@@ -8,7 +8,7 @@
 
 from cloverplank.jobs.placing import RANKS, Room, Turn, room_for, suits
 from cloverplank.jobs.records import JobRecord, Phase
-from cloverplank.kinds import JobId, MachineId, TaskRef
+from cloverplank.kinds import Clock, JobId, MachineId, TaskRef
 from cloverplank.wire.users import JobSpec
 
 from .machines import Machine
@@ -17,6 +17,30 @@
     from .holder import Block
 
 COMING_S = 15.0  # a stop older than this makes no room that is counted on
+SOON_S = 1.0  # room that arrays leave by themselves within this time is waited for
+TURNOVER_S = 5
+
+
+class Turnover:
+    """Cpus that arrays leave by themselves, a second, over the last seconds.
+
+    Among hundreds of machines tasks end all the time; stopping others for room that comes by itself
+    at once only loses their work.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._freed: dict[int, float] = {}  # by second
+
+    def freed(self, cpus: float) -> None:
+        second = int(self._clock.mono())
+        self._freed[second] = self._freed.get(second, 0.0) + cpus
+        if len(self._freed) > 2 * TURNOVER_S:
+            self._freed = {at: amount for at, amount in self._freed.items() if at >= second - TURNOVER_S}
+
+    def rate(self) -> float:
+        now = int(self._clock.mono())
+        return sum(amount for at, amount in self._freed.items() if now - TURNOVER_S <= at < now) / TURNOVER_S
 
 
 class Victim(Struct, eq=False):
@@ -49,9 +73,14 @@
         if not pressed:
             return
         block = self._block
+        soon = block.turnover.rate() * SOON_S
         coming = self._coming()
         rooms = block.rooms().by_name
         for turn, tasks in pressed:
+            need = tasks * turn.record.spec.cpus
+            if need <= soon:
+                soon -= need
+                continue
             for machine in block.machines.values():
                 room = rooms.get(machine.id)
                 if tasks <= 0:
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cloverplank.fleet import renting
+from cloverplank.fleet.preempting import Turnover
 from cloverplank.fleet.renting import Kind
 from cloverplank.fleet.roster import Roster
 from cloverplank.jobs.headroom import Headroom
@@ -85,3 +86,15 @@
     roster.release("m-1")
     roster.listed(listed, 4.0)  # still names what was released
     assert "m-1" not in roster.known
+
+
+def test_room_that_comes_by_itself_is_counted_by_the_second() -> None:
+    """Hundreds of tasks were stopped for urgent ones while more room than those needed came every second."""
+    now = 100.5
+    turnover = Turnover(Clock(lambda: now, lambda: now))
+    for _ in range(30):
+        turnover.freed(4.0)
+        now += 0.25
+    assert turnover.rate() == 16.0
+    now += 20
+    assert turnover.rate() == 0.0
