--- a/src/cloverplank/kinds.py
+++ b/src/cloverplank/kinds.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from functools import lru_cache
 from typing import NamedTuple, NewType
 
 JobId = NewType("JobId", str)
@@ -36,6 +37,7 @@
         return f"{self.job}/{self.index}"
 
 
+@lru_cache(maxsize=20_000)  # a report names the same tasks as the one before
 def parse_task(name: str, attempt: int) -> TaskRef | None:
     job, slash, index = name.rpartition("/")
     if not slash or not index.isdecimal() or len(index) > 9:
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import logging
 import os
 import random
 import sys
 
+import uvloop
+
 from cloverplank.controller import Controller
 from cloverplank.kinds import Clock
 from cloverplank.net.client import Client
@@ -42,5 +43,5 @@
     # What was made at the start stays; collections look at the rest only.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(10_000, 20, 20)
-    asyncio.run(_serve(platform, operator))
+    gc.set_threshold(50_000, 20, 50)
+    uvloop.run(_serve(platform, operator))
