--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -91,7 +91,7 @@
             report_s=workers.report_s, lease_s=workers.lease_s, hold_on_s=hold_on_s,
             taint_after_s=operator.taint_after_s or max(3 * workers.report_s, workers.lease_s),
             quiet_after_s=operator.no_new_after_reports * workers.report_s,
-            value_bytes=int(facts.state.value_kb * 1024),
+            value_bytes=int(facts.state.value_kb * 1024), write_rps=facts.state.write_rps,
             eviction_limit_ms=int(operator.eviction_limit_s * 1000),
             faulty_errors=int(operator.faulty_errors),
             release_after_s=operator.release_silent_reports * workers.report_s,
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -11,7 +11,7 @@
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import TINY, Room, Rooms, Turn, occupy
+from cloverplank.jobs.placing import RANKS, TINY, Room, Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
@@ -35,7 +35,12 @@
 MAX_MACHINES = 5000
 SAFE_RUNS = 40  # fit in any value
 BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
-MERGE_S = 1.0  # completions of one job are gathered for this long: what they free is free at once
+# Completions of one job are gathered for this long, or for longer where so many arrays run that their
+# commits would take more than a part of the changes a second. What they free is free at once.
+MERGE_S, LONGEST_MERGE_S, DONE_PART = 0.25, 2.5, 0.2
+# Between two looks for room for arrays that aren't urgent, by the machine: among hundreds of them a task ends in
+# every moment, and a commit for each single one kept the urgent waiting for theirs.
+ARRAYS_S, LONGEST_ARRAYS_S = 0.002, 0.5
 DIRECT_S = 2.0
 PROBE_S = 1.0
 MAX_PROBES = 48  # at once: more would take the sockets that orders need
@@ -61,6 +66,7 @@
     taint_after_s: float
     quiet_after_s: float
     value_bytes: int
+    write_rps: float
     eviction_limit_ms: int
     faulty_errors: int
     release_after_s: float
@@ -111,6 +117,8 @@
         self._jobs_tasks: set[asyncio.Task] = set()
         self._probes = 0
         self._checked_at = Mono(-1e9)
+        self._arrays_at = Mono(-1e9)
+        self._arrays = 0  # that have tasks here
 
     @property
     def conditions(self) -> list[Condition]:
@@ -251,10 +259,14 @@
             open_tasks = view.staged.missing_count() + view.staged.placed()
             last = sum(1 for t in tasks if t.done) >= open_tasks
             soon = last or any(not t.done for t in tasks)
-            self._change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, 0.0 if soon else MERGE_S)
+            delay = 0.0 if soon else self._merge_s()
+            self._change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, delay)
         if ended:
             self._kick()
 
+    def _merge_s(self) -> float:
+        return min(LONGEST_MERGE_S, max(MERGE_S, self._arrays / (DONE_PART * self._limits.write_rps)))
+
     def _error(self, machine: Machine, job: JobId) -> None:
         """Judges both: a machine on which several jobs fail, a job that fails on several machines."""
         now = self.clock.mono()
@@ -567,11 +579,17 @@
         least = min((t.record.spec.cpus for t in turns if t.record.missing_count()), default=0.0)
         rooms = self.rooms(least)
         spare = headroom.reserve(rooms, self.zone, self.clock.wall())
+        arrays_too = now - self._arrays_at >= min(LONGEST_ARRAYS_S, ARRAYS_S * len(self.machines))
+        if arrays_too:
+            self._arrays_at = now
+            self._arrays = sum(1 for t in turns if not t.record.spec.service and t.record.placed(self.zone))
         waiting: list[tuple[Turn, int]] = []
         for turn in turns:
             view = self.book.get(turn.record.id)
             if view is None or not view.staged.missing_count():
                 continue
+            if not arrays_too and not view.record.spec.service and RANKS[view.record.spec.rank] > RANKS["urgent"]:
+                continue
             turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
             try:
                 left = self._place_job(view, turn, rooms, spare, headroom.serves(turn.record.spec), now)
