--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -523,6 +523,7 @@
                 log.info("machine %s: %s for %.1f s and no answer: lost", machine.id,
                          "heard, but deaf" if doubted else "silent", asked - machine.heard_at)
             machine.lost_since = now
+            self._kick()  # the leader should hear of it in the next round
 
     def _check_unresolved(self, machine: Machine, now: Mono) -> None:
         for ref, (_, baton, since) in machine.unresolved.items():
@@ -600,7 +601,7 @@
             if left > 0:
                 waiting.append((turn, left))
         self._short = any(turn.record.spec.service for turn, _ in waiting)
-        Preemption(self, turns).run(waiting)
+        Preemption(self, turns).run(waiting, headroom.serves)
 
     def _place_job(self, view: JobView, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
         """Places what there is room for; returns how many tasks lack it. `spare`: the rooms less what is
--- a/src/cloverplank/fleet/preempting.py
+++ b/src/cloverplank/fleet/preempting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
@@ -68,7 +69,8 @@
         spec = turn.record.spec
         return self._lowest > RANKS[spec.rank] or (turn.guaranteed and bool(self._beyond - {spec.team}))
 
-    def run(self, waiting: list[tuple[Turn, int]]) -> None:
+    def run(self, waiting: list[tuple[Turn, int]], at_once: Callable[[JobSpec], bool]) -> None:
+        """`at_once`: jobs of classes that should start sooner than room comes by itself."""
         pressed = [(turn, tasks) for turn, tasks in waiting if self._may(turn)]
         if not pressed:
             return
@@ -78,7 +80,7 @@
         rooms = block.rooms().by_name
         for turn, tasks in pressed:
             need = tasks * turn.record.spec.cpus
-            if need <= soon:
+            if need <= soon and not at_once(turn.record.spec):
                 soon -= need
                 continue
             for machine in block.machines.values():
