Less time a message: HTTP heads made once, reports without news, sockets by need

Cause: processor time, by profile: of a holder's time 40% was HTTP (heads made and checked for each message, two timers a request), 28% rounds, 16% reports, of which nearly every one was taken apart anew, since a commit of one task touched all machines of its job, and each reap made one more report. Ruled out: several blocks a zone: one holder is at 0.3 of a core.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -331,7 +331,8 @@
     def _note_own(self) -> None:
         """The own blocks' machines into the roster, as a peer's would come by hint."""
         now = self._clock.mono()
-        if now - self._noted_at < NOTE_S:
+        # Others than the leader only need it for the day when they lead.
+        if now - self._noted_at < (NOTE_S if self.session.leads() is not None else STILL_S):
             return
         self._noted_at = now
         for hint in self._machine_hints():
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -33,6 +33,7 @@
 
 MAX_ORDERS = 250  # keeps an answer well under 64 KiB
 MAX_MACHINES = 5000
+REAPS = 8  # ended tasks that wait on a machine for other orders to go with: each change there is one more report
 SAFE_RUNS = 40  # fit in any value
 BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
 # Completions of one job are gathered for this long, or for longer where so many arrays run that their
@@ -155,13 +156,20 @@
         machine = self.machine(report.machine)
         if not machine.fresh(report):
             raise Unanswered("a late copy")
-        machine.reported = (report.session, report.seq)
         self.last_report_at = now
+        if report.token == self.baton and machine.without_news(report, self.book.touched(machine.id)):
+            machine.again(report, now)
+            return ReportAnswer(self.baton, [])
+        machine.reported = (report.session, report.seq)
         machine.addr, machine.type, machine.spot = report.addr or machine.addr, report.type, report.spot
         orders: list[Order] = []
         if self._learn(machine, report, in_answer=True):
-            orders = self._orders(machine)
+            orders, reaps = self._orders(machine)
+            if orders or len(reaps) >= REAPS:
+                orders = (reaps + orders)[:MAX_ORDERS]
             machine.in_answer.update(self._refs(orders))
+            if not orders and not machine.unresolved and self._may_start():
+                machine.settled = self.book.touched(machine.id)
         machine.unshown = 0 if report.token == self.baton else machine.unshown + 1
         if machine.unshown > UNSHOWN_MOST:
             # It hears none of our answers, or just some of them. Each might renew the lease of tasks
@@ -296,15 +304,18 @@
 
     # -- orders
 
-    def _orders(self, machine: Machine) -> list[Order]:
-        """What the worker should do next, from the committed records and its newest report."""
+    def _orders(self, machine: Machine) -> tuple[list[Order], list[Order]]:
+        """What the worker should do next, from the committed records and its newest report; and what it may
+        forget, which is in no hurry."""
         orders: list[Order] = []
+        reaps: list[Order] = []
         for ref, task in machine.tasks.items():
             view = self.book.get(ref.job)
             wanted = view is not None and view.record.run_of(ref, machine.id) is not None
             if task.state == "ended":
-                if not wanted and ref not in machine.unresolved and ref not in machine.in_orders:
-                    orders.append(Order("reap", ref.name, ref.attempt))
+                # Not while a start may still come: it would be started again.
+                if not wanted and not machine.may_start_late(ref):
+                    reaps.append(Order("reap", ref.name, ref.attempt))
             elif not wanted or (view is not None and view.record.phase is not Phase.OPEN):
                 orders.append(Order("stop", ref.name, ref.attempt, 0.0))
             elif ref in self.stops and task.state != "saving":
@@ -319,7 +330,7 @@
                         orders.append(Order("start", ref.name, ref.attempt))
                         if ref in self.stops:
                             orders.append(Order("stop", ref.name, ref.attempt, 0.0))
-        return orders[:MAX_ORDERS]
+        return orders[:MAX_ORDERS], reaps
 
     def job_changed(self, view: JobView | None) -> None:
         """A record changed: machines that have something to do are told at once."""
@@ -353,10 +364,10 @@
             again = True
             while again and not self.deposed and machine.session > 0:
                 machine.push_again = False
-                orders = [o for o in self._orders(machine) if o.op != "reap"]
+                orders, reaps = self._orders(machine)
                 if not orders:
                     return
-                await self._send(machine, orders)
+                await self._send(machine, (reaps + orders)[:MAX_ORDERS])
                 again = machine.push_again
         except Deposed:
             pass
@@ -554,6 +565,7 @@
         if ref in self.stops:
             return
         self.stops[ref] = Stop(machine.id, grace_s, why, self.clock.mono())
+        machine.settled = None
         log.info("stop: task %s try %d on %s: %s", ref.name, ref.attempt, machine.id, why)
         self.push(machine)
 
@@ -577,14 +589,11 @@
         if not self._may_start() or self.deposed:
             return
         now = self.clock.mono()
-        least = min((t.record.spec.cpus for t in turns if t.record.missing_count()), default=0.0)
-        rooms = self.rooms(least)
-        spare = headroom.reserve(rooms, self.zone, self.clock.wall())
         arrays_too = now - self._arrays_at >= min(LONGEST_ARRAYS_S, ARRAYS_S * len(self.machines))
         if arrays_too:
             self._arrays_at = now
             self._arrays = sum(1 for t in turns if not t.record.spec.service and t.record.placed(self.zone))
-        waiting: list[tuple[Turn, int]] = []
+        wanting: list[tuple[Turn, JobView]] = []
         for turn in turns:
             view = self.book.get(turn.record.id)
             if view is None or not view.staged.missing_count():
@@ -592,6 +601,15 @@
             if not arrays_too and not view.record.spec.service and RANKS[view.record.spec.rank] > RANKS["urgent"]:
                 continue
             turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
+            if turn.record.allot.get(self.zone, 0) > turn.record.placed(self.zone):
+                wanting.append((turn, view))
+        self._short = False
+        if not wanting:
+            return  # most rounds: no look at hundreds of machines for nobody
+        rooms = self.rooms(min(turn.record.spec.cpus for turn, _ in wanting))
+        spare = headroom.reserve(rooms, self.zone, self.clock.wall())
+        waiting: list[tuple[Turn, int]] = []
+        for turn, view in wanting:
             try:
                 left = self._place_job(view, turn, rooms, spare, headroom.serves(turn.record.spec), now)
             except Exception:
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -41,6 +41,8 @@
     gone_until: Mono | None = None
     ends_at: Mono | None = None  # the cloud takes it away then
     tasks: dict[TaskRef, ReportedTask] = field(default_factory=dict)
+    shown: list[ReportedTask] = field(default_factory=list)  # the same as its newest report has them
+    settled: int | None = None  # the book's number for it when all that it shows had been seen to
     first_seen: dict[TaskRef, Mono] = field(default_factory=dict)
     seen_running: set[TaskRef] = field(default_factory=set)
     in_answer: set[TaskRef] = field(default_factory=set)  # started by our last answer, outcome not seen
@@ -59,6 +61,7 @@
             level = logging.INFO if Health.TAINTED in (to, self.health) else logging.DEBUG
             log.log(level, "machine %s: %s -> %s: %s", self.id, self.health.value, to.value, why)
             self.health = to
+            self.settled = None
 
     def newer(self, report: Report) -> bool:
         return (report.session, report.seq) > (self.session, self.seq)
@@ -68,6 +71,23 @@
         has one report in flight at a time, so nobody waits for the answer to any other."""
         return (report.session, report.seq) > self.reported
 
+    def without_news(self, report: Report, touched: int) -> bool:
+        """A report that says nothing that the last one did not say, of a machine that had nothing left to do and
+        whose jobs have not changed since: most are, and they must not cost what grows with tasks or jobs."""
+        return (
+            self.settled == touched and self.health is Health.UP and self.proven and self.fenced
+            and report.token == self.token and report.session == self.session and report.seq > self.seq
+            and report.notice_s is None and self.ends_at is None and not self.in_answer and not self.in_orders
+            and not self.unresolved and report.tasks == self.shown
+        )
+
+    def again(self, report: Report, now: Mono) -> None:
+        """Takes such a report."""
+        self.seq = report.seq
+        self.reported = (report.session, report.seq)
+        self.heard_at = self.answered_at = now
+        self.unshown = 0
+
     def take(self, report: Report, baton: Baton, now: Mono, in_answer: bool) -> None:
         """A newer report that carries our baton: `baton`, the one that it shows."""
         if report.session != self.session:
@@ -82,6 +102,8 @@
             if token < baton:
                 del self.unresolved[task]
         self.session, self.seq = report.session, report.seq
+        self.settled = None
+        self.shown = report.tasks
         self.tasks = {}
         for task in report.tasks:
             ref = parse_task(task.task, task.attempt)
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -7,7 +7,7 @@
 
 from cloverplank.jobs.book import JobView
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import Rooms
+from cloverplank.jobs.placing import Rooms, room_for
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Phase
 from cloverplank.kinds import MachineId, Mono, TaskRef
@@ -22,7 +22,7 @@
 LOOK_PAUSE_S = 3.0  # between two looks for machines to empty
 MOVE_PAUSE_S = 1.0  # between two replicas of one machine
 SETTLED_S = 35.0  # a replica younger than this is not moved
-TRIES = 12  # machines whose replicas are tried to fit elsewhere in one look
+TRIES = 8  # machines whose replicas are tried to fit elsewhere in one look
 MACHINES_EACH = 40  # one machine is emptied at a time for so many in the block
 
 
@@ -81,6 +81,19 @@
             return None
         return views
 
+    def _may_fit(self, views: list[JobView], name: MachineId, rooms: Rooms) -> bool:
+        """Whether each job by itself fits on others, before what is kept ready."""
+        for view in views:
+            spec, tasks = view.record.spec, view.staged.placed_on(name)
+            for room in rooms.first(spec, self._block.zone):
+                if room.machine != name and not room.empty and spec.image in room.images:
+                    tasks -= room_for(spec, room)
+                    if tasks <= 0:
+                        break
+            if tasks > 0:
+                return False
+        return True
+
     def _fits_elsewhere(self, views: list[JobView], machine: Machine, rooms: Rooms) -> bool:
         """Takes the room it counts on."""
         for view in views:
@@ -112,8 +125,12 @@
             views = self._movable(machine, now)
             if views is None or not all(self._settled(v) for v in views):
                 continue
+            if len(self.emptying) >= most:
+                return
+            if not self._may_fit(views, name, rooms):
+                continue  # seen without making all rooms anew, which took 50 ms a look among hundreds of machines
             tries += 1
-            if tries > TRIES or len(self.emptying) >= most:
+            if tries > TRIES:
                 return
             # Without the machine itself: what is kept ready must have its room elsewhere, too.
             rest = rooms.without(name)
--- a/src/cloverplank/fleet/roster.py
+++ b/src/cloverplank/fleet/roster.py
@@ -23,7 +23,8 @@
     health: str = ""
     ends: bool = False
     listed_at: Mono | None = None
-    images: set[str] = field(default_factory=set)
+    images: frozenset[str] = frozenset()
+    hinted_images: list[str] = field(default_factory=list)
     idle_since: Mono | None = None
 
 
@@ -78,7 +79,8 @@
         known.heard_at = Mono(now - hint.silent_s)
         known.health = hint.state
         known.ends = hint.notice_s is not None
-        known.images = set(hint.images)
+        if hint.images != known.hinted_images:
+            known.images, known.hinted_images = frozenset(hint.images), hint.images
 
     def release(self, name: str) -> None:
         self.known.pop(MachineId(name), None)
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/book.py
@@ -15,7 +15,7 @@
 from cloverplank.kinds import JobId, MachineId, Mono, Stamp
 from cloverplank.wire.statesvc import Condition
 
-from .records import Change, JobRecord
+from .records import Change, JobRecord, Run
 
 
 class Pending(Struct, eq=False):
@@ -61,6 +61,7 @@
 
 
 NOTHING = Load()
+MAX_TOUCHED = 10_000
 
 
 class Book:
@@ -69,6 +70,8 @@
         self.by_machine: dict[MachineId, set[JobId]] = {}
         # Rounds ask for every machine; only those that a change touched are counted again.
         self._loads: dict[MachineId, Load] = {}
+        self._changes, self._forgot = 0, 0
+        self._touched: dict[MachineId, int] = {}
         self.changed: Callable[[JobView | None, JobId], None] = lambda view, job: None
 
     def __iter__(self) -> Iterable[JobView]:
@@ -100,24 +103,41 @@
             found = self._loads[machine] = Load(cpus, gpus, memory_gb, total, frozenset(images))
         return found
 
-    def _index(self, view: JobView, machines: set[str], add: bool) -> None:
-        for name in machines:
+    def touched(self, machine: MachineId) -> int:
+        """Another number after each change of a record that has, or had, tasks on the machine."""
+        return self._touched.get(machine, self._forgot)
+
+    def _touch(self, machine: MachineId) -> None:
+        self._loads.pop(machine, None)
+        self._changes += 1
+        if len(self._touched) >= MAX_TOUCHED:
+            self._touched.clear()
+            self._forgot = self._changes
+        self._touched[machine] = self._changes
+
+    def _index(self, view: JobView, record: JobRecord | None, staged: JobRecord | None) -> None:
+        """Counts a job anew that was `record` and `staged` before. Only machines on which it differs are touched: a
+        commit of one task would else make all the others of a large array look new."""
+        was, was_staged = _runs_on(record), _runs_on(staged)
+        gone = self.jobs.get(view.id) is not view
+        now, now_staged = _runs_on(None if gone else view.record), _runs_on(None if gone else view.staged)
+        whole = (
+            gone or record is None or staged is None
+            or record.phase is not view.record.phase or staged.phase is not view.staged.phase
+        )
+        for name in {**was, **was_staged, **now, **now_staged}:
+            same = was.get(name) == now.get(name) and was_staged.get(name) == now_staged.get(name)
+            if same and not whole:
+                continue
             machine = MachineId(name)
-            self._loads.pop(machine, None)
-            if add:
+            self._touch(machine)
+            if name in now or name in now_staged:
                 self.by_machine.setdefault(machine, set()).add(view.id)
             elif machine in self.by_machine:
                 self.by_machine[machine].discard(view.id)
                 if not self.by_machine[machine]:
                     del self.by_machine[machine]
 
-    @staticmethod
-    def _machines(view: JobView) -> set[str]:
-        found = set(view.record.runs_on)
-        if view.staged is not view.record:
-            found |= view.staged.runs_on.keys()
-        return found
-
     def _restage(self, view: JobView) -> None:
         staged = view.record
         for pending in view.pending:
@@ -129,21 +149,22 @@
         view = self.jobs.get(job)
         if view is None:
             view = self.jobs[job] = JobView(job, record, stamp, record)
+            self._index(view, None, None)
         elif stamp <= view.stamp:
             return
         else:
-            self._index(view, self._machines(view), False)
+            before, staged = view.record, view.staged
             view.record, view.stamp, view.stale = record, stamp, False
             self._restage(view)
-        self._index(view, self._machines(view), True)
+            self._index(view, before, staged)
         self.changed(view, job)
 
     def remove(self, job: JobId, stamp: Stamp) -> None:
         view = self.jobs.get(job)
         if view is None or stamp <= view.stamp:
             return
-        self._index(view, self._machines(view), False)
         del self.jobs[job]
+        self._index(view, view.record, view.staged)
         for pending in view.pending:
             pending.settle(False)
         view.pending.clear()
@@ -156,17 +177,16 @@
             view.staged = after
             return
         # What was staged before and is not any more leaves the index, too: a machine would count as busy for ever.
-        old, new, kept = view.staged.runs_on, after.runs_on, view.record.runs_on
-        view.staged = after
-        self._index(view, {m for m in old if m not in new and m not in kept}, False)
-        self._index(view, {m for m in new if new[m] != old.get(m)}, True)
-        for machine in old:
-            if machine not in new:
-                self._loads.pop(MachineId(machine), None)
+        staged, view.staged = view.staged, after
+        self._index(view, view.record, staged)
 
     def unstage(self, view: JobView, gone: list[Pending]) -> None:
-        self._index(view, self._machines(view), False)
+        staged = view.staged
         view.pending = [p for p in view.pending if not any(p is g for g in gone)]
         self._restage(view)
         if self.jobs.get(view.id) is view:
-            self._index(view, self._machines(view), True)
+            self._index(view, view.record, staged)
+
+
+def _runs_on(record: JobRecord | None) -> dict[str, list[Run]]:
+    return {} if record is None else record.runs_on
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Iterator
+from copy import copy
 
-import msgspec
 from msgspec import Struct
 
 from cloverplank.kinds import MachineId, WallMs, Zone
@@ -88,7 +88,7 @@
         return iter(self.by_name.values())
 
     def copy(self) -> Rooms:
-        return Rooms(msgspec.structs.replace(room) for room in self)
+        return Rooms(copy(room) for room in self)
 
     def without(self, machine: MachineId) -> Rooms:
         return Rooms(room for room in self if room.machine != machine)
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -57,7 +57,7 @@
     allot: dict[str, int] = field(default_factory=dict)  # zone -> tasks that may be on machines there
     evictions: list[Eviction] = field(default_factory=list, name="ev")
 
-    @property
+    @cached_property
     def id(self) -> JobId:
         return JobId(self.spec.id)
 
@@ -108,10 +108,12 @@
             gone = ranges.union(gone, run.tasks)
         return ranges.without([0, self.spec.tasks - 1], gone)
 
+    @cached_property
+    def _missing(self) -> int:
+        return self.spec.tasks - self.done_count - self._placed if self.phase is Phase.OPEN else 0
+
     def missing_count(self) -> int:
-        if self.phase is not Phase.OPEN:
-            return 0
-        return self.spec.tasks - self.done_count - self._placed
+        return self._missing
 
     def held(self) -> int:
         """Tasks that count against the team: on machines, or free to be put there by a holder."""
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+from functools import lru_cache
 
 import h11
 
 from .messages import NoAnswer, NoRoom, NotSent, Response
+from .sockets import Sockets
 
 IDLE_S = 20.0
 MAX_ANSWER = 8 * 1024 * 1024
@@ -20,31 +22,30 @@
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER)
         self.idle_since = 0.0
 
+    def usable(self) -> bool:
+        """Not closed by the other side; a reset leaves no end of file behind."""
+        return not self.reader.at_eof() and not self.writer.is_closing()
+
     def close(self) -> None:
         with contextlib.suppress(Exception):
             self.writer.close()
 
     async def exchange(self, host: str, method: str, path: str, body: bytes | None) -> tuple[Response, bool]:
-        headers = [("Host", host)]
-        if body is not None:
-            headers += [("Content-Type", "application/msgpack"), ("Content-Length", str(len(body)))]
-        data = self.h11.send(h11.Request(method=method, target=path, headers=headers))
+        data = self.h11.send(_head(host, method, path, None if body is None else len(body)))
         if body:
             data += self.h11.send(h11.Data(data=body))
         data += self.h11.send(h11.EndOfMessage()) or b""
         self.writer.write(data)
         status = 0
-        received: dict[str, str] = {}
         chunks: list[bytes] = []
         size = 0
+        event = h11.NEED_DATA
         while True:
-            event = self.h11.next_event()
             if event is h11.NEED_DATA:
                 chunk = await self.reader.read(65536)
                 self.h11.receive_data(chunk)
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                received = {n.decode("latin-1"): v.decode("latin-1") for n, v in event.headers}
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > MAX_ANSWER:
@@ -54,26 +55,54 @@
                 break
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise NoAnswer("connection closed")
+            event = self.h11.next_event()
         keep = self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE
         if keep:
             self.h11.start_next_cycle()
-        return Response(status, b"".join(chunks), received), keep
+        return Response(status, chunks[0] if len(chunks) == 1 else b"".join(chunks)), keep
+
+
+@lru_cache(maxsize=4096)
+def _head(host: str, method: str, path: str, size: int | None) -> h11.Request:
+    """Made and checked once for requests that are alike: reports and orders mostly are."""
+    headers = [("Host", host)]
+    if size is not None:
+        headers += [("Content-Type", "application/msgpack"), ("Content-Length", str(size))]
+    return h11.Request(method=method, target=path, headers=headers)
 
 
 class Client:
     """Pools connections by address. Bounded: past the limit, idle ones of others are closed first."""
 
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._open = 0
+    def __init__(self, limit: int, sockets: Sockets | None = None) -> None:
+        """`sockets`: shared with others; their limit goes for `limit`."""
+        self._most = limit
+        self._sockets = sockets
+        self._opened = 0
         self._idle: dict[str, list[_Connection]] = {}
+        if sockets is not None:
+            sockets.trim = self._make_room
+
+    @property
+    def _limit(self) -> int:
+        return self._most if self._sockets is None else self._sockets.client_limit()
+
+    @property
+    def _open(self) -> int:
+        return self._opened
+
+    @_open.setter
+    def _open(self, value: int) -> None:
+        self._opened = value
+        if self._sockets is not None:
+            self._sockets.client_open = value
 
     def _take(self, addr: str) -> _Connection | None:
         now = asyncio.get_running_loop().time()
         pool = self._idle.get(addr, [])
         while pool:
             connection = pool.pop()
-            if now - connection.idle_since < IDLE_S and not connection.reader.at_eof():
+            if now - connection.idle_since < IDLE_S and connection.usable():
                 return connection
             self._drop(connection)
         return None
@@ -83,8 +112,11 @@
         connection.close()
 
     def _make_room(self) -> None:
+        limit = self._limit
+        if self._open < limit:
+            return
         for pool in self._idle.values():
-            while pool and self._open >= self._limit:
+            while pool and self._open >= limit:
                 self._drop(pool.pop(0))
 
     async def request(
@@ -114,7 +146,9 @@
                 raise NotSent("no connection in time") from err
             self._drop(connection)
             raise NoAnswer("no response in time") from err
-        except (OSError, h11.ProtocolError, asyncio.IncompleteReadError) as err:
+        except (OSError, RuntimeError, h11.ProtocolError, asyncio.IncompleteReadError) as err:
+            # RuntimeError: uvloop's word for a connection that was reset while it lay idle. It ended the loop
+            # that renews a controller's lease, and with it the process.
             if connection is not None:
                 self._drop(connection)
             raise NoAnswer(str(err)) from err
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -14,25 +14,22 @@
 from cloverplank.kinds import Clock
 from cloverplank.net.client import Client
 from cloverplank.net.server import Server
+from cloverplank.net.sockets import Sockets
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform, parse_addr
 
-# A holder keeps a connection for each worker of its block, and users come on top of them. Direct orders
-# go to many machines in turn: their connections are the ones that can be closed and made anew.
-FRONT_PART, CLIENT_PART = 0.72, 0.2
-
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
 async def _serve(platform: Platform, operator: Operator) -> None:
-    sockets = platform.facts.machine_limits.sockets
-    controller = Controller(platform, operator, Clock(), Client(int(sockets * CLIENT_PART)), random.Random())
-    for name, handler, text, limit in (
-        ("front", controller.front, platform.front, int(sockets * FRONT_PART)),
-        ("peers", controller.peer, platform.peer_listen, sockets // 32 + 4),
+    sockets = Sockets(platform.facts.machine_limits.sockets)
+    controller = Controller(platform, operator, Clock(), Client(sockets.client_least, sockets), random.Random())
+    for name, handler, text, limit, shared in (
+        ("front", controller.front, platform.front, sockets.front, sockets),
+        ("peers", controller.peer, platform.peer_listen, sockets.peers, None),
     ):
         addr = parse_addr(text, name)
-        await Server(name, handler, limit).start(addr.host, addr.port)
+        await Server(name, handler, limit, shared).start(addr.host, addr.port)
     logging.getLogger("cloverplank").info("%s in %s: serving", platform.label, platform.location)
     await controller.run()
 
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -62,7 +62,12 @@
 
 def test_ran_cancelled(monkeypatch: pytest.MonkeyPatch) -> None:
     real = holder.Block._orders
-    monkeypatch.setattr(holder.Block, "_orders", lambda self, m: [o for o in real(self, m) if o.op != "stop"])
+
+    def never_stopping(self, machine):  # noqa: ANN001, ANN202
+        orders, reaps = real(self, machine)
+        return [o for o in orders if o.op != "stop"], reaps
+
+    monkeypatch.setattr(holder.Block, "_orders", never_stopping)
     assert "ran_cancelled" in broken()
 
 
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from cloverplank.fleet.holder import Unanswered
+from cloverplank.fleet.holder import REAPS, Unanswered
 from cloverplank.fleet.machines import Machine
 from cloverplank.kinds import Baton, MachineId, Mono, TaskRef, Zone
 from cloverplank.net.messages import NoRoom
@@ -239,3 +239,45 @@
         assert mine.lost_since is None
 
     run(play())
+
+
+def test_a_report_without_news_costs_no_look_at_tasks_or_jobs_until_something_changes() -> None:
+    """Among hundreds of machines most reports say nothing new, and each was taken apart all the same."""
+
+    async def play() -> None:
+        world, spec = start_with_service(9)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, machine = heard(world)
+        block = next(iter(controller.blocks.values()))
+        looked: list[str] = []
+        real = block._learn
+        block._learn = lambda m, *more, **named: (looked.append(m.id), real(m, *more, **named))[1]
+        before = block.machines[machine.id].seq
+        await asyncio.sleep(4 * world.lease_s)
+        assert block.machines[machine.id].seq > before + 10 and machine.id not in looked
+        assert sum(len(ms) for ms in world.rules.where.values()) == 6  # its lease was renewed all the while
+        assert (await world.ask("POST", f"/api/jobs/{spec['id']}/cancel"))[0] == 200
+        await asyncio.sleep(5)
+        assert machine.id in looked and not any(t.status == "running" for t in machine.tasks.values())
+        check(world)
+
+    run(play())
+
+
+def test_what_ended_is_forgotten_with_other_orders_and_is_never_much() -> None:
+    """Each change on a machine is one more report: telling it at once to forget cost one for each task."""
+
+    async def play() -> None:
+        world = World(seed=10)
+        for number in range(8):
+            await world.submit(world.job(number, pieces=12, vcpus=2.0))
+        most = 0
+        for _ in range(240):
+            await asyncio.sleep(0.5)
+            most = max([most, *(sum(t.status == "ended" for t in m.tasks.values()) for m in world.machines.values())])
+        assert 1 < most < 3 * REAPS
+        assert not any(len(m.tasks) > REAPS for m in world.machines.values() if m.alive)
+        check(world)
+
+    run(play())
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -225,6 +225,7 @@
         super().__init__()
         self.book = Book()
         self.stamp = 0
+        self.seen: dict = {}
         for number in range(2):
             record = records.allot({"a": 8})(JobRecord(spec(id=f"run-{number}", vcpus=1.0 + number), 0))
             assert record is not None
@@ -257,6 +258,23 @@
             self.commit(record)
         self.book.unstage(view, some)
 
+    @rule(number=st.integers(0, 1))
+    def cancel(self, number: int) -> None:
+        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        self.book.stage(view, Pending(records.cancel(), 1, Mono(0.0)))
+
+    @invariant()
+    def what_changed_on_a_machine_shows(self) -> None:
+        """Reports without news are answered without a look at the jobs: a change that did not show was never told."""
+        for machine in "xyz":
+            views = self.book.jobs.values()
+            state = [(v.id, v.record.phase, v.record.runs_on.get(machine), v.staged.runs_on.get(machine)) for v in views
+                     if machine in v.record.runs_on or machine in v.staged.runs_on]
+            number = self.book.touched(machine)  # type: ignore[arg-type]
+            if machine in self.seen:
+                assert self.seen[machine][0] != number or self.seen[machine][1] == state
+            self.seen[machine] = (number, state)
+
     @invariant()
     def loads_and_index_are_those_of_the_records(self) -> None:
         """A machine stayed in the index of a job that had left it before the commit: busy for ever."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,8 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverplank.net.messages import Request, Response, answer
+from cloverplank.net.client import Client, _Connection
+from cloverplank.net.messages import NoAnswer, Request, Response, answer
 from cloverplank.net.server import Server
+from cloverplank.net.sockets import Sockets
 
 from .world.loop import run
 
@@ -30,6 +32,9 @@
     def close(self) -> None:
         self.closed = True
 
+    def is_closing(self) -> bool:
+        return self.closed
+
 
 async def echo(request: Request) -> Response:
     if request.path == "/fails":
@@ -94,3 +99,61 @@
 def test_garbage_ends_in_an_answer_or_a_close(parts: list[bytes]) -> None:
     data, closed, _ = talk(*parts)
     assert closed and (not data or data.startswith(b"HTTP/1.1 "))
+
+
+class Reset(Out):
+    """A connection that was reset while it lay idle, as uvloop shows it."""
+
+    def __init__(self, known: bool) -> None:
+        super().__init__()
+        self.known = known
+
+    def is_closing(self) -> bool:
+        return self.known
+
+    def write(self, data: bytes) -> None:
+        raise RuntimeError("the handler is closed")
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_a_connection_that_was_reset_is_no_fault_of_ours(known: bool) -> None:
+    """It raised RuntimeError through the loop that renews the lease, which ended the process."""
+
+    async def play() -> int:
+        client = Client(4)
+        connection = _Connection(asyncio.StreamReader(), Reset(known))  # type: ignore[arg-type]
+        connection.idle_since = asyncio.get_running_loop().time()
+        client._idle["127.0.0.1:x"] = [connection]
+        client._open = 1
+        with pytest.raises(NoAnswer):  # a new connection to this address can't be made
+            await client.request("127.0.0.1:x", "GET", "/")
+        return client._open
+
+    assert run(play()) == 0
+
+
+def test_sockets_go_where_they_are_needed_and_room_is_left_for_who_comes() -> None:
+    sockets = Sockets(1200)
+    assert sockets.front + sockets.client_least + sockets.peers < 1200
+    assert sockets.front - sockets.room > 950  # 900 workers of one block, and users
+    trimmed = []
+    sockets.trim = lambda: trimmed.append(sockets.front_open)
+    sockets.client_open = sockets.client_limit()
+    for _ in range(sockets.front):
+        sockets.took()
+        assert trimmed or sockets.front_open + sockets.client_open + sockets.peers < 1200
+    assert sockets.client_limit() == sockets.client_least and sockets.crowded()
+
+
+def test_connections_are_not_kept_where_they_crowd_others_out() -> None:
+    async def play() -> bytes:
+        sockets = Sockets(100)
+        sockets.front_open = sockets.front
+        reader, out = asyncio.StreamReader(), Out()
+        reader.feed_data(post("/a", b"12") + post("/a", b"12"))
+        await Server("test", echo, 4, sockets)._serve(reader, out)  # type: ignore[arg-type]
+        assert sockets.front_open == sockets.front
+        return out.data
+
+    data = run(play())
+    assert data.count(b"HTTP/1.1 200") == 1 and b"Connection: close" in data
