Images are remembered as far as a machine's cache goes

A dozen images were remembered of each machine, while its 60 GB hold all 40 of this deployment; the machines that had the image looked like all others. Ruled out: rounds, commits, allotment (0.03 to 0.4 s together). Rooms are kept between rounds for machines that have not changed.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -48,6 +48,7 @@
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
 MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
 NOTE_S = 0.1  # between two notes of the own machines in the roster
+HINT_IMAGES = 12  # the latest used, of each machine
 MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
 SHY_S = 20.0
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
@@ -353,7 +354,7 @@
                 result.append(MachineHint(
                     machine.id, machine.addr, machine.type, block.zone, machine.spot, health,
                     max(0.0, now - machine.heard_at),
-                    None if machine.ends_at is None else machine.ends_at - now, list(machine.images),
+                    None if machine.ends_at is None else machine.ends_at - now, list(machine.images)[-HINT_IMAGES:],
                 ))
         return result
 
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from msgspec import Struct
 
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import RANKS, TINY, Room, Rooms, Turn, occupy
+from cloverplank.jobs.placing import RANKS, TINY, Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
@@ -28,6 +28,7 @@
 from .packing import Packing
 from .preempting import Preemption, Turnover
 from .returning import Returning
+from .rooming import Rooming
 
 log = logging.getLogger("cloverplank.holder")
 
@@ -114,6 +115,7 @@
         self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
         self.back_off: dict[JobId, Mono] = {}
         self._packing = Packing(self)
+        self._rooming = Rooming(book)
         self.turnover = Turnover(clock)
         self._short = False  # a replica lacked room in the last round
         self._jobs_tasks: set[asyncio.Task] = set()
@@ -241,11 +243,12 @@
             run = view.staged.run_of(ref, machine.id)
             if run is None:
                 continue
-            if task.state == "running":
-                if ref not in machine.seen_running:
-                    machine.seen_running.add(ref)
-                    log.debug("running %s on %s", ref.name, machine.id)
-                machine.remember_image(view.record.spec.image)
+            if task.state == "running" and ref not in machine.seen_running:
+                machine.seen_running.add(ref)
+                log.debug("running %s on %s", ref.name, machine.id)
+                kind = self.types().get(machine.type)
+                spec = view.record.spec
+                machine.remember_image(spec.image, spec.image_gb, kind.cache_gb if kind is not None else 0.0)
             if task.state != "ended":
                 continue
             done = task.why == "done"
@@ -589,7 +592,7 @@
                 continue  # full for this round: under a backlog most are
             if machine.id in self._returning or self.faulty(machine) or machine.id in self._packing.emptying:
                 continue
-            result.append(room_of(machine.id, self.zone, kind, machine.spot, machine.images, self.book))
+            result.append(self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images))
         return Rooms(result, least_cpus)
 
     def place(self, turns: list[Turn], headroom: Headroom) -> None:
@@ -720,15 +723,3 @@
     def close(self) -> None:
         for task in self._jobs_tasks:
             task.cancel()
-
-
-def room_of(
-    name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: Collection[str], book: Book, real: bool = True
-) -> Room:
-    """A machine's size less all tasks that are on it as staged."""
-    load = book.load(name)
-    known = load.images.union(images) if images else load.images
-    return Room(
-        name, zone, kind.name, spot, kind.cpus - load.cpus, kind.gpus - load.gpus, kind.memory_gb - load.memory_gb,
-        known, not load.tasks, real,
-    )
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -6,11 +6,10 @@
 import logging
 import math
 from collections.abc import Callable
-from copy import copy
 
 from cloverplank.jobs import limits as team_limits
 from cloverplank.jobs import records
-from cloverplank.jobs.book import Book, Load, Pending
+from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit, Shortage
 from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, TINY, Room, Rooms, Targets, Turn
@@ -30,9 +29,9 @@
 
 from . import renting
 from .cloud import Cloud, CloudDown, NoCapacity
-from .holder import room_of
 from .renting import Kind
 from .returning import Returning
+from .rooming import Rooming, room_of
 from .roster import Known, Roster
 
 log = logging.getLogger("cloverplank.leader")
@@ -78,7 +77,7 @@
         self._led_since = Mono(0.0)
         self._listed_at = Mono(-1e9)
         self._draining: dict[str, Mono] = {}
-        self._room_of: dict[MachineId, tuple[Load, frozenset[str], MachineType, Room]] = {}
+        self._rooming = Rooming(mirror.book)
 
     # -- grants
 
@@ -196,9 +195,9 @@
                 continue
             if not self._usable(known):
                 continue
-            result.append(self._room(known, kind))
-        if len(self._room_of) > 2 * len(self._roster.known) + 100:
-            self._room_of.clear()
+            room = self._rooming.room(known.id, known.zone, kind, known.spot, known.images)
+            room.real = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
+            result.append(room)
         for name, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
             kind = types.get(hire.type)
             if kind is None or hire.machines:
@@ -208,17 +207,6 @@
                                       self._book, False))
         return Rooms(result, least_cpus)
 
-    def _room(self, known: Known, kind: MachineType) -> Room:
-        """Made anew only where something about the machine has changed since the last round."""
-        load = self._book.load(known.id)
-        last = self._room_of.get(known.id)
-        if last is None or last[0] is not load or last[1] is not known.images or last[2] is not kind:
-            room = room_of(known.id, known.zone, kind, known.spot, known.images, self._book)
-            last = self._room_of[known.id] = (load, known.images, kind, room)
-        room = copy(last[3])
-        room.real = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
-        return room
-
     def _usable(self, known: Known) -> bool:
         if known.id in self._returning or known.ends or known.state == "failed":
             return False
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -13,6 +13,10 @@
 log = logging.getLogger("cloverplank.fleet")
 
 
+MAX_IMAGES = 80
+CACHE_PART = 0.9  # of a machine's cache that what is remembered of it may fill
+
+
 class Health(Enum):
     UNHEARD = "unheard"  # no report that has our baton yet
     UP = "up"
@@ -48,7 +52,8 @@
     in_answer: set[TaskRef] = field(default_factory=set)  # started by our last answer, outcome not seen
     in_orders: set[TaskRef] = field(default_factory=set)  # started by orders on their way
     unresolved: dict[TaskRef, tuple[int, Baton, Mono]] = field(default_factory=dict)
-    images: dict[str, None] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)  # with their size, the latest used last
+    known_images: frozenset[str] = frozenset()  # the same
     failed_jobs: set[str] = field(default_factory=set)
     probing: bool = False
     lost_since: Mono | None = None  # silent, and a direct question got no answer
@@ -132,8 +137,14 @@
         answered = Mono(self.answered_at + lease_s * (1 + 2 * DRIFT) + 0.2)
         return answered if self.fenced else max(answered, unfenced_gone_at)
 
-    def remember_image(self, image: str) -> None:
-        self.images.pop(image, None)
-        self.images[image] = None
-        while len(self.images) > 12:
+    def remember_image(self, image: str, size_gb: float, cache_gb: float) -> None:
+        """The worker keeps what was used last, as far as its cache goes. Remembering a dozen alone sent tasks
+        that should start at once to machines where they waited for an image that others had."""
+        new = self.images.pop(image, None) is None
+        self.images[image] = size_gb
+        while len(self.images) > 1 and (
+            len(self.images) > MAX_IMAGES or sum(self.images.values()) > CACHE_PART * cache_gb
+        ):
             self.images.pop(next(iter(self.images)))
+        if new:
+            self.known_images = frozenset(self.images)
--- /dev/null
+++ b/src/cloverplank/fleet/rooming.py
@@ -0,0 +1,43 @@
+"""What machines have left for new tasks, counted anew only where something has changed."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from copy import copy
+
+from cloverplank.jobs.book import Book, Load
+from cloverplank.jobs.placing import Room
+from cloverplank.kinds import MachineId, Zone
+from cloverplank.wire.cloud import MachineType
+
+MOST = 10_000
+
+
+def room_of(
+    name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: Collection[str], book: Book, real: bool = True
+) -> Room:
+    """A machine's size less all tasks that are on it as staged."""
+    load = book.load(name)
+    known = load.images.union(images) if images else load.images
+    return Room(
+        name, zone, kind.name, spot, kind.cpus - load.cpus, kind.gpus - load.gpus, kind.memory_gb - load.memory_gb,
+        known, not load.tasks, real,
+    )
+
+
+class Rooming:
+    """Rounds ask for every machine, and most have not changed since the last one."""
+
+    def __init__(self, book: Book) -> None:
+        self._book = book
+        self._kept: dict[MachineId, tuple[Load, frozenset[str], MachineType, Room]] = {}
+
+    def room(self, name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: frozenset[str]) -> Room:
+        """One that may be filled: each caller gets its own."""
+        load = self._book.load(name)
+        last = self._kept.get(name)
+        if last is None or last[0] is not load or last[1] is not images or last[2] is not kind or last[3].spot != spot:
+            if len(self._kept) >= MOST:
+                self._kept.clear()
+            last = self._kept[name] = (load, images, kind, room_of(name, zone, kind, spot, images, self._book))
+        return copy(last[3])
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -98,10 +98,15 @@
         for room in sorted(self.by_name.values(), key=lambda r: (r.empty, r.cpus, r.machine)):
             group = (room.zone, room.real, room.spot)
             groups.setdefault(group, []).append(room)
-            for image in room.images:
-                self._with_image.setdefault((*group, image), []).append(room)
         return groups
 
+    def _having(self, group: tuple[Zone, bool, bool], image: str) -> list[Room]:
+        found = self._with_image.get((*group, image))
+        if found is None:
+            assert self._groups is not None
+            found = self._with_image[(*group, image)] = [r for r in self._groups[group] if image in r.images]
+        return found
+
     def _in_order(self, spec: JobSpec, zone: Zone) -> Iterator[Room]:
         """Up, spot for who may use it, with the image, the fullest."""
         groups = self._groups if self._groups is not None else self._sort()
@@ -109,7 +114,7 @@
             for spot in (True, False) if spec.spot else (False, True):
                 if (zone, real, spot) not in groups:
                     continue
-                yield from self._with_image.get((zone, real, spot, spec.image), ())
+                yield from self._having((zone, real, spot), spec.image)
                 for room in groups[zone, real, spot]:
                     if spec.image not in room.images:
                         yield room
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -304,3 +304,17 @@
 
     just_cut, others_heard = run(play())
     assert just_cut is (number > 1) and not others_heard
+
+
+def test_images_are_remembered_as_far_as_the_cache_goes() -> None:
+    """Of 40 images that lay on every machine a dozen were remembered: starts waited for a fetch elsewhere."""
+    one = machine()
+    for number in range(40):
+        one.remember_image(f"img-{number}", 1.0, 60.0)
+    assert len(one.known_images) == 40
+    one.remember_image("img-3", 1.0, 60.0)
+    one.remember_image("large", 30.0, 60.0)
+    assert "img-3" in one.known_images and "img-0" not in one.known_images and "large" in one.known_images
+    assert one.known_images == frozenset(one.images) and sum(one.images.values()) <= 54.0
+    one.remember_image("huge", 90.0, 60.0)
+    assert one.known_images == {"huge"}
