A long commit queue is told of; a takeover among hundreds of machines as a test; rounds at 0.05

Cause: nothing in the logs said that commits waited, which was what made submissions and starts late.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -44,7 +44,7 @@
 
 ROUND_S = 0.05  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
-ROUND_PART = 0.07  # of the processor that rounds may take: reports and leases come first
+ROUND_PART = 0.05  # of the processor that rounds may take: reports and leases come first
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
 MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
 NOTE_S = 0.1  # between two notes of the own machines in the roster
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Awaitable
 from enum import IntEnum
 
@@ -41,6 +42,7 @@
 BOOKED = 1.0  # changes taken from the budget when a commit is chosen; what more it has, when it is sent
 LOOK_S = 0.02  # between two looks for what has become ready
 IN_FLIGHT = 8
+LONG, TELL_S = 60, 10.0  # a queue this long is told of in the log, so often
 MAX_WAITING = 400
 NEED_S = 2.0
 
@@ -67,6 +69,7 @@
         self._flying = 0
         self._tasks: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
+        self._told_at = Mono(-1e9)
         self._need, self._need_at, self._need_made = 0.0, clock.mono(), 0.0
 
     def waiting(self) -> int:
@@ -144,10 +147,22 @@
                 best, found = key, view
         return None if best is None or found is None else (Urgency(best[0]), found)
 
+    def _tell(self, now: Mono) -> None:
+        """A long queue is what slow starts and slow completions have in common."""
+        if self.waiting() < LONG or now - self._told_at < TELL_S:
+            return
+        self._told_at = now
+        kinds = Counter(raw.urgency.name.lower() for raw in self._raw)
+        for view in self._dirty.values():
+            kinds[Urgency(min((p.urgency for p in view.pending), default=Urgency.DONE)).name.lower()] += 1
+        log.info("commit queue: %d wait (%s) for %.1f changes a second", self.waiting(),
+                 ", ".join(f"{n} {kind}" for kind, n in kinds.most_common()), self._client.changes.rate)
+
     async def run(self) -> None:
         while True:
             self._wake.clear()
             now = self._clock.mono()
+            self._tell(now)
             chosen = self._next(now) if self._flying < IN_FLIGHT else None
             changes = self._client.changes
             left = 0.0 if chosen is None else LEAVES[chosen[0]] * changes.rate * 0.5
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -264,3 +264,30 @@
         return end
 
     assert run(play()) == "done"
+
+
+def test_hundreds_of_machines_over_a_takeover() -> None:
+    """The holder ends and is back at once, and machines hang for longer than a lease meanwhile: nothing runs twice, and
+    all that was asked for runs afterwards."""
+
+    async def play() -> tuple[int, int]:
+        world = World(seed=20, capacity=400, scale=60.0)
+        specs = [
+            world.job(n, shape="service", lane="web", rank="prod", loaners=False, pieces=18, vcpus=4.0,
+                      crew="red" if n % 3 else "blue")
+            for n in range(44)
+        ]
+        await asyncio.gather(*(world.submit(s) for s in specs))
+        await asyncio.sleep(30)
+        busy = [m for m in world.machines.values() if m.tasks]
+        world.spawn(world.restart(holder(world), 0.2))
+        await asyncio.sleep(1.0)
+        for machine in busy[:20]:
+            machine.hung = True
+            world.loop.call_later(11, setattr, machine, "hung", False)
+        await asyncio.sleep(30)
+        check(world)
+        return len(busy), sum(len(ms) for ms in world.rules.where.values())
+
+    busy, running = run(play())
+    assert busy >= 200 and running == 44 * 18
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -67,14 +67,14 @@
 
     report_s, lease_s, cancel_s, list_lag_s = 2.0, 8.0, 30.0, 3.0
 
-    def __init__(self, seed: int, zones: int = 1, noise: float = 0.0, capacity: int = 6) -> None:
+    def __init__(self, seed: int, zones: int = 1, noise: float = 0.0, capacity: int = 6, scale: float = 1.0) -> None:
         self.random = random.Random(seed)
         self.zones = [f"zone-{n}" for n in range(zones)]
         self.labels = ["c-0", "c-1", "c-2"]
         self.home = {label: self.zones[n % zones] for n, label in enumerate(self.labels)}
         self.noise = noise
         self.capacity = capacity
-        self.limits = {"red": 40.0, "blue": 24.0}
+        self.limits = {"red": 40.0 * scale, "blue": 24.0 * scale}
         self.loop = asyncio.get_running_loop()
         self.state = StateService(self.now)
         self.machines: dict[str, Machine] = {}
