--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -55,6 +55,7 @@
         self._types = types
         self._zones = zones
         self._value_bytes = value_bytes
+        self.cancelled: Callable[[JobId], None] = lambda job: None  # a cancellation was committed here
 
     async def handle(self, request: Request) -> Response:
         rest = request.path[len(JOBS_PATH):].strip("/").split("/")
@@ -192,5 +193,6 @@
                     pending = Pending(records.cancel(), int(Urgency.CANCEL), self._clock.mono())
                     if await asyncio.shield(self._queue.changed(view, pending)):
                         log.info("cancelled %s", job)
+                        self.cancelled(job)
                         return answer(200, JobAnswer(job, "cancelled"))
                 await asyncio.sleep(0.02)
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -25,7 +25,7 @@
 from cloverplank.kinds import Baton, Clock, JobId, Mono, NodeId, Zone
 from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
 from cloverplank.settings.operator import Operator
-from cloverplank.settings.platform import Platform
+from cloverplank.settings.platform import Platform, contact_bound
 from cloverplank.state import keys
 from cloverplank.state.client import Budget, Lost, Refused, StateClient, Unknown
 from cloverplank.state.fresh import Fresh
@@ -37,7 +37,7 @@
 from cloverplank.wire.codec import BadMessage, decode, encode
 from cloverplank.wire.peers import HINT_PATH, Hint, MachineHint
 from cloverplank.wire.statesvc import Commit, Condition, Put
-from cloverplank.wire.users import ErrorAnswer
+from cloverplank.wire.users import ErrorAnswer, valid_job_id
 from cloverplank.wire.workers import REPORT_PATH, Redirect, Report
 
 log = logging.getLogger("cloverplank.controller")
@@ -50,13 +50,16 @@
 NOTE_S = 0.1  # between two notes of the own machines in the roster
 HINT_IMAGES = 12  # the latest used, of each machine
 MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
+MAX_CANCELLED, TELL_CANCELLED_S = 500, 3.0  # cancellations in one hint, and for how long each is told again
 SHY_S = 20.0
+REINSTATE_S = 0.1  # contact must be later than a deposition by this much before it is taken back
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
 LEADER_WEIGHT, HOLDER_WEIGHT = 2.0, 2.0
 EVEN_PART = 0.3  # of the changes a second, split evenly; the rest goes by need
 # Watches are opened anew by their share of this part of all requests; leader and holders wait for news
 # with every job, the others only keep up.
 WATCH_PART, WATCH_WEIGHT, LEAST_GAP_S = 0.3, 3.0, 0.03
+WATCH_LEASES = 0.375  # of the controller's lease that a watch without news waits at the most
 
 
 class Controller:
@@ -81,12 +84,14 @@
         self.queue = CommitQueue(self.client, self.mirror, clock)
         self.fresh = Fresh(self.client, self.mirror, facts.state.txn_ops)
         workers = facts.workers
-        hold_on_s = max(
-            operator.controller_lease_s, workers.cancel_s - workers.lease_s - operator.hold_on_margin_s
+        hold_on_s = contact_bound(
+            workers.cancel_s, workers.lease_s, operator.hold_on_margin_s, operator.controller_lease_s
         )
+        # No longer than the bound, or a lease that is good by the clock would lift it.
+        own_lease_s = min(operator.controller_lease_s, hold_on_s)
+        self.mirror.wait_s = min(self.mirror.wait_s, own_lease_s * WATCH_LEASES)
         self.session = Session(
-            self.me, Zone(platform.location), self.client, self.mirror, clock,
-            operator.controller_lease_s, hold_on_s,
+            self.me, Zone(platform.location), self.client, self.mirror, clock, own_lease_s, hold_on_s,
         )
         self.limits = Limits(
             report_s=workers.report_s, lease_s=workers.lease_s, hold_on_s=hold_on_s,
@@ -120,6 +125,8 @@
         self._heard: dict[str, dict[str, Mono]] = {z: {} for z in self.zones}
         self._kicked = asyncio.Event()
         self._noted_at = Mono(-1e9)
+        self._cancellations: dict[JobId, Mono] = {}  # committed here lately, told to the peers
+        self._telling = False
         self._tasks: set[asyncio.Task] = set()
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
         self.leader = Leader(
@@ -132,6 +139,8 @@
             lambda: self._types, list(facts.zones), self.limits.value_bytes,
         )
         self.book.changed = self._job_changed
+        self.book.fresh_at = lambda: self.mirror.fresh_at
+        self.users.cancelled = self._cancelled
         self.mirror.changed = self._key_changed
         self.session.changed = self.kick
 
@@ -164,6 +173,36 @@
                     block.released(name)
         self.kick()
 
+    def _cancelled(self, job: JobId) -> None:
+        """A cancellation that was committed here: a holder that the state service refuses can learn of it from us
+        alone, and any other sooner than from its watch."""
+        now = self._clock.mono()
+        for old in [j for j, at in self._cancellations.items() if now - at > TELL_CANCELLED_S]:
+            del self._cancellations[old]
+        if len(self._cancellations) < MAX_CANCELLED:
+            self._cancellations[job] = now
+        if not self._telling:
+            self._telling = True
+            self._spawn(self._tell_cancelled())
+
+    async def _tell_cancelled(self) -> None:
+        await asyncio.sleep(0.005)  # gathers what is called off in the same moment
+        self._telling = False
+        body = encode(self._own_hint())
+        for peer in self.platform.peers:
+            self._spawn(self._hint(peer.peer_addr, [body]))
+
+    def _own_hint(self) -> Hint:
+        """Without machines."""
+        now = self._clock.mono()
+        return Hint(
+            self.me, self.platform.location, not self.client.down(1.0),
+            {zone: len(heard) for zone, heard in self._heard.items()},
+            [], {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
+            now < self.session.shy_until, self.queue.need(),
+            [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
+        )
+
     # -- what is served
 
     async def front(self, request: Request) -> Response:
@@ -210,7 +249,8 @@
             standing = self.session.check()
             if standing is Standing.OUT:
                 return answer(503, ErrorAnswer("out of touch"), Retry_After="1")
-            if self.session.grant(zone) == block.baton or self._bumped.get(zone) == self.session.grant(zone):
+            grant = self.session.grant(zone)  # None: the lease is gone for certain, and the block with it
+            if grant is not None and grant in (block.baton, self._bumped.get(zone)):
                 try:
                     return answer(200, block.on_report(report))
                 except Unanswered as err:
@@ -254,7 +294,11 @@
             return answer(400, ErrorAnswer(str(err)[:200]))
         if hint.node not in {p.label for p in self.platform.peers}:
             return answer(400, ErrorAnswer("unknown peer"))
-        self.peers[NodeId(hint.node)] = (hint, self._clock.mono())
+        now = self._clock.mono()
+        self.peers[NodeId(hint.node)] = (hint, now)
+        for job in hint.cancelled[:MAX_CANCELLED]:
+            if valid_job_id(job):
+                self.book.call_off(JobId(job), now)
         for machine in hint.machines[:5000]:
             if self.session.holder(machine.zone) == hint.node:
                 self.roster.hinted(machine)
@@ -361,7 +405,8 @@
     def turns(self) -> list[Turn]:
         now = self._clock.wall()
         turns = in_order(
-            (v.staged for v in self.book.jobs.values() if v.staged.phase is Phase.OPEN),
+            (v.staged for v in self.book.jobs.values()
+             if v.staged.phase is Phase.OPEN and not self.book.called_off(v.id)),
             self.guarantees, self.most_cpus, now,
         )
         for turn in turns:
@@ -437,6 +482,10 @@
     async def _tend(self, block: Block) -> None:
         if self.session.check() is not Standing.MEMBER:
             return
+        if block.deposed and self.session.contact_at() > block.deposed_at + REINSTATE_S:
+            if self.session.grant(block.zone) == block.baton:
+                block.reinstate()
+            return
         if block.bump_wanted:
             block.bump_wanted = False
             key = keys.block(block.zone)
@@ -522,12 +571,7 @@
             for heard in self._heard.values():
                 for name in [n for n, at in heard.items() if now - at > 6.0]:
                     del heard[name]
-            hint = Hint(
-                self.me, self.platform.location, not self.client.down(1.0),
-                {zone: len(heard) for zone, heard in self._heard.items()},
-                [], {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
-                now < self.session.shy_until, self.queue.need(),
-            )
+            hint = self._own_hint()
             leader = self.session.leader()
             everybody = turn % MACHINE_HINTS == 0
             full = {p.label for p in self.platform.peers if everybody or (leader and leader[0].node == p.label)}
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -52,6 +52,10 @@
 LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
 UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
 UNRESOLVED_S = 3.0
+SEARCH_S = 4.0  # a new holder is found by workers after this long: a time limit of theirs
+# A machine that answers orders and sends no report is mute after this part of its lease, and so many report periods: a
+# worker whose answer was lost is back sooner.
+MUTE_PART, MUTE_REPORTS = 0.7, 3.2
 
 
 class Deposed(Exception):
@@ -111,6 +115,9 @@
         self.last_report_at = self.since
         self.bump_wanted = False
         self.deposed = False
+        self.deposed_by: MachineId | None = None
+        self.deposed_at = self.since
+        self.liars: set[str] = set()  # workers that showed a baton that nobody was granted
         self.former_ended = False
         self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
         self.back_off: dict[JobId, Mono] = {}
@@ -155,6 +162,8 @@
     def on_report(self, report: Report) -> ReportAnswer:
         now = self.clock.mono()
         if report.token > self.baton:
+            if report.machine in self.liars:
+                raise Unanswered("a baton that nobody was granted")
             self._depose(report)
         machine = self.machine(report.machine)
         if not machine.fresh(report):
@@ -164,6 +173,7 @@
             machine.again(report, now)
             return ReportAnswer(self.baton, [])
         machine.reported = (report.session, report.seq)
+        machine.reported_at = now
         machine.addr, machine.type, machine.spot = report.addr or machine.addr, report.type, report.spot
         orders: list[Order] = []
         if self._learn(machine, report, in_answer=True):
@@ -188,9 +198,18 @@
         if not self.deposed:
             log.info("block %s: worker %s has baton %d above ours, %d: deposed",
                      self.zone, report.machine, report.token, self.baton)
+            self.deposed_by, self.deposed_at = MachineId(report.machine), self.clock.mono()
         self.deposed = True
         raise Deposed
 
+    def reinstate(self) -> None:
+        """All that was committed before a worker deposed us is known, and the block is still ours: nobody was
+        granted the baton that it showed."""
+        log.info("block %s: nobody was granted the baton of worker %s: not deposed", self.zone, self.deposed_by)
+        self.deposed = False
+        if self.deposed_by is not None and len(self.liars) < MAX_MACHINES:
+            self.liars.add(self.deposed_by)
+
     @staticmethod
     def _refs(orders: list[Order]) -> list[TaskRef]:
         refs = []
@@ -221,7 +240,9 @@
         if not in_answer or (shown is not None and shown < report.token):
             machine.prove()
         if machine.health is not Health.UP:
-            if machine.proven:
+            if machine.proven and self._reportless(machine, now) > self._limits.quiet_after_s:
+                machine.move(Health.QUIET, "it answers, and its reports are missing")
+            elif machine.proven:
                 machine.move(Health.UP, "report")
                 self._kick()
             else:
@@ -320,13 +341,13 @@
                 # Not while a start may still come: it would be started again.
                 if not wanted and not machine.may_start_late(ref):
                     reaps.append(Order("reap", ref.name, ref.attempt))
-            elif not wanted or (view is not None and view.record.phase is not Phase.OPEN):
+            elif not wanted or (view is not None and not self.book.wanted(view)):
                 orders.append(Order("stop", ref.name, ref.attempt, 0.0))
             elif ref in self.stops and task.state != "saving":
                 orders.append(Order("stop", ref.name, ref.attempt, self.stops[ref].grace_s))
         if machine.health is Health.UP and self._may_start():
             for view in self.book.on(machine.id):
-                if view.record.phase is not Phase.OPEN or view.staged.phase is not Phase.OPEN:
+                if not self.book.wanted(view) or view.staged.phase is not Phase.OPEN:
                     continue
                 for ref in self.placed_refs(view.record, machine.id):
                     # Both: what is staged to leave the machine must not be started there again.
@@ -343,7 +364,7 @@
         for run in view.record.runs:
             machine = self.machines.get(MachineId(run.machine))
             if machine is not None and machine.health is Health.UP:
-                cancelled = view.record.phase is not Phase.OPEN
+                cancelled = not self.book.wanted(view)
                 for index in numbers(run.tasks):
                     ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
                     if cancelled != (ref not in machine.tasks):
@@ -404,7 +425,7 @@
             log.debug("orders to %s: no answer: %s", machine.id, err)
             return False
         machine.in_orders -= started
-        if report.token > self.baton:
+        if report.token > self.baton and report.machine not in self.liars:
             self._depose(report)
         if report.machine == machine.id:
             self._learn(machine, report, in_answer=False)
@@ -453,7 +474,12 @@
         if now - self._checked_at < CHECK_S:
             return
         self._checked_at = now
-        for name in [m for m in self.book.by_machine if m not in self.machines and not self._returning.gone(m)]:
+        for name in [m for m in self.book.by_machine if m not in self.machines]:
+            if self._returning.gone(name):
+                # Released before this holder had the block, or its eviction was lost with the former one.
+                if self._may_start():
+                    self._evict(name, "released")
+                continue
             # Placed by a former holder on a machine that nobody has told us of yet.
             if any(run.zone == self.zone for view in self.book.on(name)
                    for run in view.record.runs_on.get(name, ())):
@@ -463,14 +489,16 @@
         for machine in list(self.machines.values()):
             heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
             silent = now - max(heard_at, self.since)
-            if machine.health in (Health.UP, Health.DOUBTED) and silent > limits.quiet_after_s:
-                machine.move(Health.QUIET, f"silent for {silent:.1f} s")
+            without = self._reportless(machine, now)
+            if machine.health in (Health.UP, Health.DOUBTED) and max(silent, without) > limits.quiet_after_s:
+                machine.move(Health.QUIET, f"no report for {without:.1f} s, silent for {silent:.1f} s")
                 machine.proven = False
             gone_at = machine.gone_at(limits.lease_s, self.unfenced_gone_at)
             if machine.health is not Health.TAINTED and silent >= limits.taint_after_s and now >= gone_at:
                 self._taint(machine, silent)
             if machine.deaf():
-                self._evict_deaf(machine)
+                self._evict_absent(machine, "deaf")
+            self._check_mute(machine, now)
             if machine.health is Health.TAINTED:
                 self._evict(machine.id, "tainted")
                 machine.in_answer.clear()
@@ -488,12 +516,48 @@
         for ref in [r for r, stop in self.stops.items() if now - stop.at > 60 or self.book.get(r.job) is None]:
             del self.stops[ref]
 
-    def _evict_deaf(self, machine: Machine) -> None:
-        """It is heard and can't hear, and its newest report shows that its tasks are gone: no start can
-        be on its way to it any more, so they are placed elsewhere."""
+    def _reportless(self, machine: Machine, now: Mono) -> float:
+        """For how long no report has come, beyond what a new holder must grant workers to find it."""
+        return now - max(machine.reported_at, machine.since, Mono(self.since + SEARCH_S))
+
+    def _check_mute(self, machine: Machine, now: Mono) -> None:
+        """Direct commands reach it, and its reports reach nobody: no answer renews its lease, which ends its tasks.
+        What can be saved is saved before that; then it is lost, and its release proves its tasks gone. Where no
+        release is to be had, its next session does."""
+        without = self._reportless(machine, now)
+        if machine.health is not Health.QUIET or machine.heard_at <= machine.reported_at or (
+            without < max(MUTE_PART * self._limits.lease_s, MUTE_REPORTS * self._limits.report_s)
+        ):
+            return
+        if self._deaf_since(now):
+            return  # nobody's reports come: it may be us
+        saving = [
+            (ref, view.record.spec.save_s) for view in self.book.on(machine.id) if view.record.spec.checkpoint_s > 0
+            for ref in self.placed_refs(view.record, machine.id)
+            if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
+        ]
+        for ref, save_s in saving:
+            self.stop(ref, machine, save_s + 1.0, "mute")
+        if saving and without < self._limits.lease_s:
+            return
+        self._lose(machine, now, f"mute, no report for {without:.1f} s: lost")
+        self._evict_absent(machine, "mute")
+
+    def _lose(self, machine: Machine, now: Mono, why: str) -> None:
+        """Has it released, unless so many are lost that it may be us."""
+        lost = sum(1 for m in self.machines.values() if m.lost_since is not None and m is not machine)
+        if lost < max(2, 0.6 * len(self.machines)):
+            if machine.lost_since is None:
+                log.info("machine %s: %s", machine.id, why)
+            machine.lost_since = now
+            self._kick()  # the leader should hear of it in the next round
+
+    def _evict_absent(self, machine: Machine, why: str) -> None:
+        """Its newest report shows that its tasks are gone, and no start can be on its way to it any more: they are
+        placed elsewhere."""
         refs = [ref for view in self.book.on(machine.id) for ref in self.placed_refs(view.record, machine.id)]
         if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
-            self._evict(machine.id, "deaf")
+            self._evict(machine.id, why)
 
     def _taint(self, machine: Machine, silent: float) -> None:
         if machine.health is Health.UNHEARD and not self.book.on(machine.id):
@@ -532,13 +596,8 @@
             return  # it is there, or it is we who could not ask
         if self._deaf_since(asked) or (machine.heard_at > asked and not doubted):
             return  # it may be us who can't hear
-        lost = sum(1 for m in self.machines.values() if m.lost_since is not None and m is not machine)
-        if lost < max(2, 0.6 * len(self.machines)):
-            if machine.lost_since is None:
-                log.info("machine %s: %s for %.1f s and no answer: lost", machine.id,
-                         "heard, but deaf" if doubted else "silent", asked - machine.heard_at)
-            machine.lost_since = now
-            self._kick()  # the leader should hear of it in the next round
+        self._lose(machine, now, "{} for {:.1f} s and no answer: lost".format(
+            "heard, but deaf" if doubted else "silent", asked - machine.heard_at))
 
     def _deaf_since(self, asked: Mono) -> bool:
         """While many machines should report, one of them would have since the question was sent. A report
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -39,6 +39,7 @@
 LEAST_PAID_S = 58.0  # a machine costs a minute at the least, so one younger is kept
 DRAIN_S = 0.5  # a placement on its way when a drain is committed shows within this time
 MAX_RETURNS = 48  # begun in one look
+HIRE_KEPT_S = 60.0  # a rental at the most, beyond what the list lags
 GONE_KEPT_S = 300.0  # late copies of its reports must not bring a machine back
 
 
@@ -139,7 +140,7 @@
         condition = [Condition(keys.LEADER, stamp)]
         others: dict[str, Limit] = {}
         for view in self._book.jobs.values():
-            if view.staged.phase is not Phase.OPEN:
+            if view.staged.phase is not Phase.OPEN or self._book.called_off(view.id):
                 spec, held = view.record.spec, view.held()
                 have = others.get(spec.team, Limit(0.0, 0.0))
                 others[spec.team] = Limit(have.cpus + held * spec.cpus, have.gpus + held * spec.gpus)
@@ -285,7 +286,10 @@
         if stamp is None:
             return
         for name, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
-            if not hire.machines:
+            if self._clock.wall() - hire.at > 1000 * max(HIRE_KEPT_S, 6 * self._platform.facts.cloud.list_lag_s):
+                # Long over: what came of it is in the list. A late copy of its transaction opened it again.
+                await self._write([Delete(keys.hire(name))])
+            elif not hire.machines:
                 await self._call(name, hire)  # begun by a former leader, or not answered
             elif all(self._is_known(m) for m in hire.machines):
                 await self._write([Delete(keys.hire(name))])
@@ -343,12 +347,18 @@
                 return False
         return True
 
-    async def _write(self, changes: list) -> bool:
+    async def _write(self, changes: list[Put | Delete]) -> bool:
+        """Each key as it is known now: a copy that is carried out late, after newer changes of the same leader, must
+        not bring back a rental that is over or a machine that is gone."""
         stamp = self._session.leads()
         if stamp is None:
             return False
+        known = [
+            Condition(key, self._mirror.stamp(key))
+            for key in dict.fromkeys(c.key for c in changes)
+        ]
         try:
-            answer = await self._queue.commit(Commit([Condition(keys.LEADER, stamp)], changes), Urgency.PLACE)
+            answer = await self._queue.commit(Commit([Condition(keys.LEADER, stamp), *known], changes), Urgency.PLACE)
         except (Lost, Full, Refused, Unknown):
             return False
         return not answer.failed
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -41,6 +41,7 @@
     proven: bool = False  # answers or commands have reached it in this session, since it last was silent
     unshown: int = 0  # reports answered since one showed our baton
     heard_at: Mono = Mono(-1e9)
+    reported_at: Mono = Mono(-1e9)  # the last report that came by itself; only answers to those renew a lease
     answered_at: Mono = Mono(-1e9)  # our last answer that can have renewed its lease
     gone_until: Mono | None = None
     ends_at: Mono | None = None  # the cloud takes it away then
@@ -90,7 +91,7 @@
         """Takes such a report."""
         self.seq = report.seq
         self.reported = (report.session, report.seq)
-        self.heard_at = self.answered_at = now
+        self.heard_at = self.reported_at = self.answered_at = now
         self.unshown = 0
 
     def take(self, report: Report, baton: Baton, now: Mono, in_answer: bool) -> None:
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/book.py
@@ -15,7 +15,7 @@
 from cloverplank.kinds import JobId, MachineId, Mono, Stamp
 from cloverplank.wire.statesvc import Condition
 
-from .records import Change, JobRecord, Run
+from .records import Change, JobRecord, Phase, Run
 
 
 class Pending(Struct, eq=False):
@@ -62,6 +62,7 @@
 
 NOTHING = Load()
 MAX_TOUCHED = 10_000
+MAX_CALLED_OFF = 2_000
 
 
 class Book:
@@ -72,6 +73,8 @@
         self._loads: dict[MachineId, Load] = {}
         self._changes, self._forgot = 0, 0
         self._touched: dict[MachineId, int] = {}
+        self._called_off: dict[JobId, Mono] = {}  # by a peer's word, with when it came
+        self.fresh_at: Callable[[], Mono] = lambda: Mono(-1e9)  # all changes made before this moment are here
         self.changed: Callable[[JobView | None, JobId], None] = lambda view, job: None
 
     def __iter__(self) -> Iterable[JobView]:
@@ -80,6 +83,30 @@
     def get(self, job: JobId) -> JobView | None:
         return self.jobs.get(job)
 
+    def call_off(self, job: JobId, now: Mono) -> None:
+        """A peer says that the job's cancellation is committed. Its tasks are stopped and none is started, before
+        the state service tells us or although it does not. Nothing else rests on it: the record stays as it is."""
+        view = self.jobs.get(job)
+        if job in self._called_off or (view is not None and view.record.phase is not Phase.OPEN):
+            return
+        while len(self._called_off) >= MAX_CALLED_OFF:
+            del self._called_off[next(iter(self._called_off))]
+        self._called_off[job] = now
+        if view is not None:
+            for name in {**view.record.runs_on, **view.staged.runs_on}:
+                self._touch(MachineId(name))
+            self.changed(view, job)
+
+    def called_off(self, job: JobId) -> bool:
+        """By a peer's word alone. What a peer says was committed before; so once all is here that was made before
+        it said so, the record speaks for itself, and a wrong word has no effect any more."""
+        at = self._called_off.get(job)
+        return at is not None and self.fresh_at() <= at
+
+    def wanted(self, view: JobView) -> bool:
+        """Tasks of the job may be started, and those that are there go on."""
+        return view.record.phase is Phase.OPEN and not self.called_off(view.id)
+
     def on(self, machine: MachineId) -> list[JobView]:
         """Jobs that have tasks on the machine, as staged or as committed."""
         return [self.jobs[job] for job in self.by_machine.get(machine, ()) if job in self.jobs]
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -10,8 +10,12 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from cloverplank.kinds import DRIFT
 from cloverplank.settings import BadSettings
 
+# What the bound on answers without contact leaves below `cancel_s` at the least (a worker's own lateness, rounding),
+# and the shortest bound with which a holder can do its work.
+LEAST_MARGIN_S, LEAST_CONTACT_S = 1.0, 1.0
 Positive = Annotated[float, Meta(gt=0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -108,6 +112,17 @@
     return Addr(host, number)
 
 
+def contact_bound(cancel_s: float, lease_s: float, margin_s: float, controller_lease_s: float) -> float:
+    """For how long since the state service last answered a holder may answer workers.
+
+    An answer may let a cancelled task go on for the whole lease of its worker, and of a cancellation that was
+    committed after the last contact the holder may know nothing. Where the margin that operators want leaves less
+    than a controller's lease, the margin gives way as far as it is safe; the bound itself never does.
+    """
+    most = cancel_s - lease_s * (1 + 2 * DRIFT)
+    return max(most - margin_s, min(controller_lease_s, most - LEAST_MARGIN_S))
+
+
 def _check(settings: Platform) -> None:
     parse_addr(settings.front, "front")
     parse_addr(settings.peer_listen, "peer_listen")
@@ -128,8 +143,10 @@
         if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
             raise BadSettings(f"facts.teams: {team.name}: guaranteed more than its limit")
     workers = settings.facts.workers
-    if workers.cancel_s <= workers.lease_s:
-        raise BadSettings("facts.workers.cancel_s: must be above lease_s")
+    least = workers.lease_s * (1 + 2 * DRIFT) + LEAST_MARGIN_S + LEAST_CONTACT_S
+    if workers.cancel_s < least:
+        raise BadSettings(f"facts.workers.cancel_s: {workers.cancel_s:g} is too short for lease_s {workers.lease_s:g}: "
+                          f"a cancelled task can't be gone in time under {least:.2f}")
 
 
 def parse_platform(text: str) -> Platform:
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -40,6 +40,7 @@
     def __init__(self, client: StateClient, book: Book, clock: Clock, gap_s: float) -> None:
         self._client = client
         self._clock = clock
+        self.wait_s = WATCH_S
         self.gap_s = gap_s  # between two watches, so that they keep to their share of requests
         self.book = book
         self.values: dict[str, tuple[object, Stamp]] = {}
@@ -151,7 +152,7 @@
                     log.info("mirror: loaded at revision %d, %d open jobs", self.revision, len(self.book.jobs))
                     self.changed("")
                 sent = self._clock.mono()
-                changes = await self._client.watch(keys.ROOT, self.revision, WATCH_S)
+                changes = await self._client.watch(keys.ROOT, self.revision, self.wait_s)
                 for event in changes.events:
                     self._apply(event)
                 self.revision = max(self.revision, changes.revision)
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -92,6 +92,10 @@
     # -- what is asked of it
 
     def change(self, view: JobView, pending: Pending) -> None:
+        if self._book.get(view.id) is not view:
+            # The job has ended meanwhile; a commit on the view that was would be lost again and again.
+            pending.settle(False)
+            return
         self._book.stage(view, pending)
         self._dirty[view.id] = view
         self._wake.set()
--- a/src/cloverplank/state/session.py
+++ b/src/cloverplank/state/session.py
@@ -113,9 +113,15 @@
             return
         sent = self._clock.mono()
         lease = await self._client.new_lease(self.lease_s)
-        answer = await self._client.commit(
-            Commit([Condition(key, 0)], [Put(key, NodeRecord(self._zone, lease), lease)])
-        )
+        try:
+            answer = await self._client.commit(
+                Commit([Condition(key, 0)], [Put(key, NodeRecord(self._zone, lease), lease)])
+            )
+        except Unknown:
+            # It may be carried out late and name a lease that nobody renews: others would take the lease that we
+            # have by then for ended. Without the lease it can't be.
+            await self._client.end_lease(lease)
+            raise
         if answer.failed:
             return
         self.lease = lease
--- a/src/cloverplank/wire/peers.py
+++ b/src/cloverplank/wire/peers.py
@@ -30,3 +30,4 @@
     holds: dict[str, int] = field(default_factory=dict)  # zone -> baton
     shy: bool = False  # wants no block: it heard no workers
     changes: Annotated[float, Meta(ge=0, le=1e6)] = 0.0  # that it would make a second in the state service
+    cancelled: list[str] = field(default_factory=list)  # jobs whose cancellation it has committed lately
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -15,7 +15,8 @@
 from cloverplank.state.client import Refused
 from cloverplank.wire.users import JobAnswer
 
-from .test_world import alone_with_its_workers, cut_holder_off, day
+from .test_world import alone_with_its_workers, cut_holder_off
+from .world.day import day
 from .world.loop import run
 from .world.world import World
 
--- /dev/null
+++ b/tests/test_contact.py
@@ -0,0 +1,224 @@
+"""What a controller may do without the state service, and what it learns of cancellations meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
+from cloverplank.kinds import DRIFT, JobId
+from cloverplank.settings import BadSettings
+from cloverplank.settings.platform import contact_bound, parse_platform
+from cloverplank.state import session
+from cloverplank.state.client import Unknown
+from cloverplank.state.session import Standing
+
+from .test_meetings import call_off, leader, others, play, the_gap
+from .test_settings import GOOD
+from .world.day import check, holder
+from .world.loop import run
+from .world.world import SETTINGS, World
+
+
+@given(st.floats(1, 100), st.floats(2, 200), st.floats(1, 60), st.floats(1, 60))
+def test_no_setting_lifts_the_bound_above_what_a_cancellation_allows(
+    lease_s: float, cancel_s: float, margin_s: float, own_lease_s: float
+) -> None:
+    """A controller's lease was a floor under the bound: with a short cancel_s holders answered for too long."""
+    text = GOOD.replace("lease_s = 8.0", f"lease_s = {lease_s}").replace("cancel_s = 30.0", f"cancel_s = {cancel_s}")
+    try:
+        parse_platform(text)
+    except BadSettings as err:
+        assert cancel_s < lease_s * 1.01 + 2.1 and "cancel_s" in str(err)
+        assume(False)
+    bound = contact_bound(cancel_s, lease_s, margin_s, own_lease_s)
+    assert bound >= 1.0 - 1e-9 and bound + lease_s * (1 + 2 * DRIFT) <= cancel_s - 1.0 + 1e-9
+
+
+def test_the_least_margins_hold_in_the_world(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The smallest bound that settings may lead to: the controller's own lease is no longer than it."""
+    monkeypatch.setattr(World, "cancel_s", 11.0)
+    monkeypatch.setattr("tests.world.world.SETTINGS", SETTINGS.replace("cancel_s = 30.0", "cancel_s = 11.0"))
+
+    async def work() -> World:
+        world = World(seed=41)
+        controller, _ = next(iter(world.controllers.values()))
+        assert controller.session.lease_s <= controller.session.hold_on_s < 2.0
+        specs = [world.job(n, shape="service", pieces=3, lane="web", loaners=False) for n in range(4)]
+        await asyncio.gather(*(world.submit(s) for s in specs))
+        await asyncio.sleep(25)
+        refused = holder(world)
+        world.state.shut_out = {refused}
+        for other in others(world, refused):
+            world.cut(refused, other)
+        call_off(world, 2, others(world, refused)[0])
+        await asyncio.sleep(0.5)
+        world.state.outage(True)
+        await asyncio.sleep(20)
+        return world
+
+    world = run(work())
+    check(world)
+    assert len(world.rules.cancelled_at) == 2
+
+
+def test_a_holder_whose_lease_is_gone_answers_no_worker() -> None:
+    """Its lease had ended for certain; until its next round it answered reports as if it held its block, since a
+    grant that is none equalled a baton that was never changed."""
+
+    async def work() -> None:
+        world = World(seed=42)
+        spec = world.job(1, shape="service", pieces=4, lane="web", loaners=False)
+        await world.submit(spec)
+        await asyncio.sleep(25)
+        controller, _ = world.controllers[holder(world)]
+        machine = next(m for m in world.machines.values() if m.tasks)
+        block = next(iter(controller.blocks.values()))
+        controller.session.lease = None
+        controller.session.standing = Standing.JOINING
+        answer = controller._report(msgspec.msgpack.encode(machine.report()))
+        assert controller.blocks and not block.deposed and answer.status == 421
+
+    run(work())
+
+
+def test_a_refused_holder_stops_what_a_peer_says_is_called_off() -> None:
+    """It heard of cancellations from the state service alone, and started and kept their tasks until the bound."""
+
+    async def work() -> tuple[float, int]:
+        world = World(seed=43)
+        specs = [world.job(n, shape="service", pieces=3, lane="web", loaners=False) for n in range(3)]
+        await asyncio.gather(*(world.submit(s) for s in specs))
+        await asyncio.sleep(25)
+        refused = holder(world)
+        world.state.shut_out = {refused}
+        world.state.down = False
+        await asyncio.sleep(0.2)
+        began = world.now()
+        assert await world.call_off(specs[0]["id"], others(world, refused)[0]) == "cancelled"
+        world.state.outage(True)
+        while any(world.rules.where.get(f"{specs[0]['id']}/{n}") for n in range(3)) and world.now() < began + 30:
+            await asyncio.sleep(0.05)
+        took = world.now() - began
+        left = sum(len(ms) for ms in world.rules.where.values())
+        await asyncio.sleep(6)
+        world.state.outage(False)
+        world.state.shut_out = set()
+        await asyncio.sleep(60)
+        check(world)
+        return took, left
+
+    took, left = run(work())
+    assert took < 1.0 and left == 6
+
+
+def test_a_peers_wrong_word_of_a_cancellation_has_no_lasting_effect() -> None:
+    """A hint makes a node more careful, never for longer than the state service is silent."""
+
+    async def work() -> None:
+        world = World(seed=44)
+        spec = world.job(1, shape="service", pieces=3, lane="web", loaners=False)
+        await world.submit(spec)
+        await asyncio.sleep(25)
+        job = JobId(spec["id"])
+        for controller, _ in world.controllers.values():
+            controller.book.call_off(job, controller._clock.mono())
+        await asyncio.sleep(0.3)
+        stopped = 3 - sum(len(ms) for ms in world.rules.where.values())
+        assert stopped == 3
+        await asyncio.sleep(10)
+        assert sum(len(ms) for ms in world.rules.where.values()) == 3
+        assert (await world.ask("GET", f"/api/jobs/{job}"))[1]["status"] == "running"
+
+    run(work())
+
+
+def test_a_join_without_an_answer_leaves_no_lease_that_could_be_named_late() -> None:
+    """Carried out late it named a lease that nobody renewed, in the place of the one the controller had by then: a new
+    holder took that for proof that the former one had ended."""
+
+    async def work() -> set[int]:
+        world = World(seed=45)
+        await asyncio.sleep(3)
+        controller, _ = world.controllers["c-1"]
+        controller.session._leave("for the test")
+        ended: list[int] = []
+        made: list[int] = []
+        client = controller.client
+        real_new, real_end, real_commit = client.new_lease, client.end_lease, client.commit
+
+        async def new_lease(life_s: float) -> int:
+            made.append(await real_new(life_s))
+            return made[-1]
+
+        async def end_lease(lease: int) -> None:
+            ended.append(lease)
+            await real_end(lease)
+
+        async def commit(commit, **more):  # noqa: ANN001, ANN003, ANN202
+            if len(made) == 1 and commit.conditions[0].key.startswith("cp/node/"):
+                raise Unknown("no answer")
+            return await real_commit(commit, **more)
+
+        client.new_lease, client.end_lease, client.commit = new_lease, end_lease, commit
+        await asyncio.sleep(5)
+        assert controller.session.lease == made[-1] and len(made) >= 2
+        return {made[0]} - set(ended)
+
+    assert not run(work())
+
+
+def test_the_gap_is_seen_when_the_bound_is_lifted(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The meeting itself is among the others and was never found broken; without the bound, and without a peer's word
+    of the cancellation, its tasks go on."""
+    real = session.Session.__init__
+
+    def lifted(self, *args) -> None:  # noqa: ANN001, ANN002
+        real(self, *args[:-1], 1000.0)
+
+    monkeypatch.setattr(session.Session, "__init__", lifted)
+    monkeypatch.setattr("cloverplank.jobs.book.Book.call_off", lambda self, job, now: None)
+    assert "ran_cancelled" in play(the_gap, 308, 1).rules.broken
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_contact_counts_from_when_it_was_asked_for(seed: int) -> None:
+    """Touches that are answered while the watch hangs, slow answers, and a log that is gone: what was committed before
+    `contact_at` is known, whatever came when."""
+
+    async def work() -> None:
+        world = World(seed=50 + seed)
+        await asyncio.sleep(5)
+        label = others(world, leader(world))[0]
+        controller, _ = world.controllers[label]
+        client = controller.client
+        real = client._ask
+        committed: list[tuple[float, int]] = []
+
+        async def hanging(method: str, path: str, body=None, timeout: float = 2.0):  # noqa: ANN001, ANN202
+            if path.startswith("/watch") and world.random.random() < 0.5:
+                await asyncio.sleep(timeout)
+                raise Unknown("hangs")
+            answer = await real(method, path, body, timeout)
+            await asyncio.sleep(world.random.uniform(0.0, 1.2))
+            if path.startswith("/watch") and world.random.random() < 0.1:
+                answer.status = 410
+            return answer
+
+        client._ask = hanging
+        for number in range(60):
+            await asyncio.sleep(0.5)
+            world.state.revision += 1
+            key = f"cp/types{number}"
+            world.state.items[key] = ({}, world.state.revision, None)
+            world.state.log.append({"put": key, "value": {}, "stamp": world.state.revision})
+            world.state.news.set()
+            committed.append((controller._clock.mono(), world.state.revision))
+            known = controller.mirror.revision
+            assert all(stamp <= known for at, stamp in committed if at < controller.session.contact_at())
+        assert controller.session.contact_at() > committed[20][0]
+
+    run(work())
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -13,7 +13,7 @@
 from cloverplank.net.messages import NoRoom
 from cloverplank.wire.workers import Report, ReportedTask
 
-from .test_world import check
+from .world.day import check
 from .world.loop import run
 from .world.world import World
 
@@ -318,3 +318,96 @@
     assert one.known_images == frozenset(one.images) and sum(one.images.values()) <= 54.0
     one.remember_image("huge", 90.0, 60.0)
     assert one.known_images == {"huge"}
+
+
+def running(world: World) -> int:
+    return sum(len(ms) for ms in world.rules.where.values())
+
+
+def test_tasks_on_a_machine_that_was_released_before_the_takeover_are_placed_again() -> None:
+    """The eviction was lost with the holder; the release was known to all, so nobody looked at the machine again and
+    its job waited for ever."""
+
+    async def play() -> None:
+        world, spec = start_with_service(12)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, machine = heard(world)
+        block = next(iter(controller.blocks.values()))
+        block._evict = lambda name, why: None
+        machine.die()
+        await asyncio.sleep(12)
+        assert machine.released and running(world) < 6
+        await world.restart(controller.me, 0.3)
+        await asyncio.sleep(25)
+        assert running(world) == 6
+        check(world)
+
+    run(play())
+
+
+@pytest.mark.parametrize("cloud_down", [False, True])
+def test_a_mute_machine_loses_its_tasks_to_others_and_is_returned(cloud_down: bool) -> None:
+    """Direct commands reached it and its reports nobody: it counted as well, was given its tasks again after each end
+    of its lease, and none of them ever got further than a lease."""
+
+    async def play() -> None:
+        world, spec = start_with_service(13)
+        await world.submit(spec)
+        array = world.job(2, pieces=2, marker_s=2.0, stow_s=0.5)
+        world.durations[array["id"]] = 300.0
+        await world.submit(array)
+        while running(world) < 8:
+            await asyncio.sleep(1)
+        machine = next(m for m in world.machines.values() if any(t.name.startswith(array["id"]) for t in m.tasks.values()))
+        world.mute.add(machine.id)
+        world.cloud.down = cloud_down
+        began = world.now()
+        while world.now() < began + 60 and (machine.tasks if cloud_down else not machine.released):
+            await asyncio.sleep(0.1)
+        assert world.now() - began < world.lease_s * (1.6 if cloud_down else 1.1)
+        await asyncio.sleep(3 * world.lease_s)
+        assert not [t for t in machine.tasks.values() if t.status == "running"]
+        world.cloud.down = False
+        await asyncio.sleep(30)
+        assert running(world) == 8 and machine.released
+        check(world)
+
+    run(play())
+
+
+def test_machines_are_not_called_mute_when_it_is_the_holder_that_hears_nobody() -> None:
+    async def play() -> None:
+        world, spec = start_with_service(14)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        before = {m.id for m in world.machines.values() if m.alive}
+        world.mute.update(before)
+        await asyncio.sleep(2 * world.lease_s)
+        world.mute.clear()
+        assert len([m for m in before if world.machines[m].released]) <= 2
+        await asyncio.sleep(40)
+        assert running(world) == 6
+        check(world)
+
+    run(play())
+
+
+def test_a_baton_that_nobody_was_granted_deposes_nobody_for_long() -> None:
+    """One worker's contradictory message kept a holder from answering all others until it was restarted."""
+
+    async def play() -> None:
+        world, spec = start_with_service(15)
+        await world.submit(spec)
+        await asyncio.sleep(30)
+        controller, _ = heard(world)
+        block = next(iter(controller.blocks.values()))
+        lie = {"plank": "m-000900", "stint": 1, "tally": 1, "baton": 2**63, "yard": world.zones[0], "build": "small"}
+        for number in range(100):
+            controller._report(msgspec.msgpack.encode(lie | {"tally": number + 1}))
+            await asyncio.sleep(0.5)
+        assert not block.deposed and running(world) == 6
+        assert controller._report(msgspec.msgpack.encode(lie | {"tally": 200})).status == 503
+        check(world)
+
+    run(play())
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -4,8 +4,9 @@
 
 import asyncio
 
-from cloverplank.jobs.book import Book
-from cloverplank.kinds import Clock
+from cloverplank.jobs import records
+from cloverplank.jobs.book import Book, Pending
+from cloverplank.kinds import Clock, JobId
 from cloverplank.net.messages import Response, answer
 from cloverplank.state.client import Budget, StateClient
 from cloverplank.state.mirror import Mirror
@@ -13,6 +14,7 @@
 from cloverplank.wire.statesvc import Commit, CommitAnswer, Put
 
 from .world.loop import run
+from .world.world import World
 
 RATE = 20.0
 
@@ -57,3 +59,55 @@
     waited, made = run(play())
     assert waited < 0.05
     assert made <= RATE * 0.5 + RATE * 2.0 + 1  # the burst, and the rate
+
+
+def test_a_change_of_a_job_that_has_ended_is_settled_and_never_sent() -> None:
+    """A cancellation that met the end of its job was staged on what the job had been: its commit was lost and made
+    again for ever, at the cost of all others."""
+
+    async def play() -> None:
+        world = World(seed=60)
+        spec = world.job(1, pieces=2)
+        await world.submit(spec)
+        controller, _ = world.controllers["c-0"]
+        await asyncio.sleep(1)
+        view = controller.book.get(JobId(spec["id"]))
+        assert view is not None
+        assert await world.follow(spec) == "done"
+        await asyncio.sleep(1)
+        pending = Pending(records.cancel(), int(Urgency.CANCEL), controller._clock.mono())
+        async with asyncio.timeout(5):
+            assert await controller.queue.changed(view, pending) is False
+        assert controller.queue.waiting() == 0
+
+    run(play())
+
+
+def test_a_leaders_transaction_that_is_carried_out_late_brings_nothing_back() -> None:
+    """Rentals and returns were written on the leader's stamp alone: a copy that came after newer ones of the same leader
+    made a rental that was over open again, and machines that were gone draining."""
+
+    async def play() -> None:
+        world = World(seed=61)
+        sent: list[tuple] = []
+        real = world.state._commit
+
+        def noting(asked: dict) -> tuple:
+            found = real(asked)
+            if found[0] == 200 and any("/hire/" in str(w) or "/ret/" in str(w) for w in asked.get("writes") or []):
+                sent.append(asked)
+            return found
+
+        world.state._commit = noting
+        await asyncio.gather(*(world.follow(world.job(n, pieces=4)) for n in range(6)))
+        await asyncio.sleep(120)
+        assert len(sent) >= 4
+        before, machines = dict(world.state.items), len(world.machines)
+        # Only what made a key that is no more can still be carried out, and opens a rental that is long over.
+        answers = [real(asked)[0] for asked in sent]
+        assert answers.count(409) >= len(sent) / 2
+        assert {k for k in world.state.items.keys() - before.keys() if "/hire/" not in k} == set()
+        await asyncio.sleep(5)
+        assert world.state.items.keys() == before.keys() and len(world.machines) == machines
+
+    run(play())
--- /dev/null
+++ b/tests/world/day.py
@@ -0,0 +1,47 @@
+"""A day in the simulated world: jobs of several kinds, and a trouble."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .world import World
+
+
+async def day(world: World, trouble=None, seconds: float = 90.0, jobs: int = 12) -> dict[str, str | None]:  # noqa: ANN001
+    """Jobs of several kinds arrive and some are cancelled, while `trouble` happens."""
+    ends: dict[str, str | None] = {}
+
+    async def one(spec: dict, after: float, cancel_after: float | None) -> None:
+        await asyncio.sleep(after)
+        ends[spec["id"]] = await world.follow(spec, cancel_after)
+
+    work = []
+    for number in range(jobs):
+        service = number % 4 == 3
+        spec = world.job(
+            number, crew="red" if number % 3 else "blue", pieces=world.random.randint(1, 7),
+            shape="service" if service else "batch", loaners=not service, lane="web" if service else "nightly",
+            rank="prod" if service else world.random.choice(["urgent", "standard"]),
+            apart=number % 5 == 0 and len(world.zones) > 1, together=number % 5 == 1,
+            marker_s=5.0 if number % 2 else 0.0, stow_s=1.0 if number % 2 else 0.0,
+            vcpus=world.random.choice([1.0, 2.0, 4.0]) if not service else 2.0,
+        )
+        cancel = world.random.uniform(5, 40) if service or number % 6 == 2 else None
+        work.append(asyncio.ensure_future(one(spec, world.random.uniform(0.5, 25.0), cancel)))
+    if trouble is not None:
+        world.spawn(trouble(world))
+    _, pending = await asyncio.wait(work, timeout=seconds)
+    for task in pending:
+        task.cancel()
+    await asyncio.sleep(world.cancel_s + 5)
+    await world.afterwards()
+    return ends
+
+
+def check(world: World) -> None:
+    assert not world.rules.broken, "\n".join(world.rules.notes)
+    assert world.rules.starts > 0
+
+
+def holder(world: World) -> str:
+    return next((label for label, (c, _) in world.controllers.items() if c.blocks), "c-0")
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -17,6 +17,7 @@
         self.cancelled_at: dict[str, float] = {}
         self.cancel_asked: set[str] = set()
         self.starts = 0
+        self.starts_after_cancel: list[float] = []  # how long after the confirmation each began
 
     def breach(self, rule: str, note: str) -> None:
         self.broken[rule] += 1
@@ -46,14 +47,13 @@
         if wrong:
             self.breach("wrong_place", f"{name} on {machine.id}")
         there.add(machine.id)
-        used = sum(
-            world.jobs[n.rsplit("/", 1)[0]]["vcpus"] * len(ms)
-            for n, ms in self.where.items() if world.jobs[n.rsplit("/", 1)[0]]["crew"] == spec["crew"]
-        )
+        used = world.used(spec["crew"])
         if used > world.limits[spec["crew"]] + 1e-6:
             self.breach("quota", f"{spec['crew']} uses {used} with {name}")
-        if job in self.cancelled_at and world.now() - self.cancelled_at[job] > world.cancel_s:
-            self.breach("ran_cancelled", f"{name} starts")
+        if job in self.cancelled_at:
+            self.starts_after_cancel.append(world.now() - self.cancelled_at[job])
+            if self.starts_after_cancel[-1] > world.cancel_s:
+                self.breach("ran_cancelled", f"{name} starts")
 
     def off(self, name: str, machine) -> None:
         self.where.get(name, set()).discard(machine.id)
--- a/tests/world/worker.py
+++ b/tests/world/worker.py
@@ -84,7 +84,7 @@
             if task.status == "pulling" and now >= task.ready_at:
                 task.status = "running"
                 spec = self.world.jobs[task.name.rsplit("/", 1)[0]]
-                task.ends_at = now + self.world.durations[spec["id"]]
+                task.ends_at = now + self.world.durations.get(task.name, self.world.durations[spec["id"]])
                 if task.name in self.world.done_tasks:
                     task.ends_at = now
                 self.world.rules.on(task.name, task.attempt, self)
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -81,12 +81,19 @@
         self.cloud = Cloud(self)
         self.rules = Rules(self)
         self.jobs: dict[str, dict] = {}
-        self.durations: dict[str, float] = {}
+        self.durations: dict[str, float] = {}  # by job, or by task where the tasks of a job differ
         self.done_tasks: set[str] = set()
         self.controllers: dict[str, tuple[Controller, asyncio.Task]] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.deaf: set[str] = set()  # machines whose reports arrive while answers and commands don't
         self.copies = 0.0  # part of reports of which a copy arrives late, up to several leases
+        self.mute: set[str] = set()  # machines that reach no controller, while direct commands reach them
+        self.late_writes = 0.0  # part of transactions that get no answer and are carried out 2 to 12 s later
+        self.cancel_at_end = 0.0  # part of the jobs that are called off at the moment of their end
+        self.slow_state = 0.0  # seconds that the state service takes for an answer, at the most
+        self.slow_links = 0.0  # seconds that any message takes on its way, at the most
+        self.late_orders = 0.0  # part of direct commands, or of their answers, that are held up for 1 to 8 s
+        self.held_reports = 0.0  # part of reports that arrive only 5 to 15 s later, and then anywhere
         self.held: list = []
         self.hold = True
         self.tasks: set[asyncio.Task] = set()
@@ -219,6 +226,9 @@
         if host in self.labels and host not in self.controllers:
             await asyncio.sleep(0.002)
             raise NotSent("refused")
+        if src in self.mute:
+            await asyncio.sleep(timeout)
+            raise NotSent("mute")
         if self._is_cut(src, host):
             if self.hold and self.random.random() < 0.5:
                 self.held.append(lambda: self._carry_out(src, host, addr, method, path, body))
@@ -232,6 +242,28 @@
             other = f"front:{self.random.choice(self.labels)}"
             late = self.random.uniform(0.5, 4 * self.lease_s)
             self.spawn(self._late(late, src, self._host(other), other, method, path, body))
+        if host == "state" and path == "/commit" and self.late_writes and self.random.random() < self.late_writes:
+            self.spawn(self._late(self.random.uniform(2.0, 12.0), src, host, addr, method, path, body))
+            await asyncio.sleep(timeout)
+            raise NoAnswer("carried out late")
+        if host == "state" and self.slow_state:
+            await asyncio.sleep(min(timeout, self.random.uniform(0.0, self.slow_state)))
+        if self.slow_links:
+            await asyncio.sleep(min(timeout, self.random.uniform(0.0, self.slow_links)))
+        if self.late_orders and path == "/orders" and self.random.random() < self.late_orders:
+            late = self.random.uniform(1.0, 8.0)
+            if self.random.random() < 0.5:
+                await self._carry_out(src, host, addr, method, path, body)
+            else:
+                self.spawn(self._late(late, src, host, addr, method, path, body))
+            await asyncio.sleep(timeout)
+            raise NoAnswer("held up")
+        if self.held_reports and path == "/v1/report" and self.random.random() < self.held_reports:
+            other = f"front:{self.random.choice(self.labels)}"
+            late = self.random.uniform(5.0, 15.0)
+            self.spawn(self._late(late, src, self._host(other), other, method, path, body))
+            await asyncio.sleep(timeout)
+            raise NoAnswer("held back")
         if host in self.deaf:
             await asyncio.sleep(timeout)
             raise NoAnswer("deaf")
@@ -294,8 +326,10 @@
     async def submit(self, spec: dict) -> bool:
         self.rules.submitted.add(spec["id"])
         for _ in range(40):
+            told = self.rules.told.get(spec["id"])
             status, value = await self.ask("POST", "/api/jobs", spec)
-            self.rules.answered(spec["id"], status, value.get("status"), submitting=True)
+            if status >= 300 or told is not None or self.rules.told.get(spec["id"]) is None:
+                self.rules.answered(spec["id"], status, value.get("status"), submitting=True)
             if status in (200, 201):
                 return True
             if status in (400, 422):
@@ -319,6 +353,29 @@
                 return value["status"]
             await asyncio.sleep(1.0 if cancel_after else 2.5)
 
+    async def call_off(self, job: str, label: str | None = None) -> str | None:
+        """A user cancels, again and again until it is told what became of it."""
+        self.rules.cancel_asked.add(job)
+        for _ in range(120):
+            status, value = await self.ask("POST", f"/api/jobs/{job}/cancel", label=label)
+            self.rules.answered(job, status, value.get("status"))
+            if status == 200:
+                return value["status"]
+            await asyncio.sleep(1.0)
+        return None
+
+    async def question(self, job: str) -> None:
+        """One of several at the same time: what others were told after it was sent says nothing of its answer."""
+        told = self.rules.told.get(job)
+        status, value = await self.ask("GET", f"/api/jobs/{job}")
+        if told is not None or self.rules.told.get(job) is None:
+            self.rules.answered(job, status, value.get("status"))
+
+    def at_work(self) -> list[str]:
+        """Accepted jobs that have tasks on machines and that nobody has called off."""
+        found = {name.rsplit("/", 1)[0] for name, machines in self.rules.where.items() if machines}
+        return sorted(found & self.rules.accepted - self.rules.cancel_asked)
+
     async def afterwards(self, within_s: float = 75.0) -> None:
         """Troubles are over: every controller answers for every accepted job, and each job that was not
         cancelled has run or runs by then."""
@@ -343,6 +400,48 @@
             waiting = [job for job in waiting if not self._served(job)]
         for job in waiting:
             self.rules.breach("forgotten", f"{job} was accepted and does not run")
+        await self._nobody_starves(until)
+
+    async def _nobody_starves(self, since: float) -> None:
+        """No task waits for 90 s beside a machine that has room for it, its team under its limit."""
+        waits: dict[str, float] = {}
+        while self.now() < since + 20.0 or (waits and self.now() < min(waits.values()) + 91.0):
+            found = {name for job in self.rules.accepted for name in self._waiting_beside_room(job)}
+            waits = {name: waits.get(name, self.now()) for name in found}
+            for name, at in waits.items():
+                if self.now() - at >= 90.0:
+                    self.rules.breach("starved", f"{name} waits since {at:.1f} beside room")
+                    return
+            await asyncio.sleep(2.0)
+
+    def _waiting_beside_room(self, job: str) -> list[str]:
+        spec = self.jobs[job]
+        if job in self.rules.cancel_asked:
+            return []
+        names = [f"{job}/{n}" for n in range(spec["pieces"])]
+        missing = [n for n in names if n not in self.done_tasks and not self.rules.where.get(n)]
+        if not missing or spec["apart"] or spec["together"]:
+            return []
+        if self.used(spec["crew"]) + spec["vcpus"] > self.limits[spec["crew"]] + 1e-6:
+            return []
+        for machine in self.machines.values():
+            if not machine.alive or machine.up_at > self.now() or (machine.spot and not spec["loaners"]):
+                continue
+            if spec["yard"] not in (None, machine.zone) or spec["builds"] not in (None, machine.type):
+                continue
+            kind = next(t for t in Cloud.TYPES if t["sku"] == machine.type)
+            live = [t for t in machine.tasks.values() if t.status != "ended"]
+            used = sum(self.jobs[t.name.rsplit("/", 1)[0]]["vcpus"] for t in live)
+            if used + spec["vcpus"] <= kind["vcpus"] and machine.id not in self.deaf | self.mute:
+                return missing[:1]
+        return []
+
+    def used(self, team: str) -> float:
+        """Cpus that the tasks of a team are on."""
+        return sum(
+            self.jobs[name.rsplit("/", 1)[0]]["vcpus"] * len(machines)
+            for name, machines in self.rules.where.items() if self.jobs[name.rsplit("/", 1)[0]]["crew"] == team
+        )
 
     def _served(self, job: str) -> bool:
         """It has run, or runs now."""
