Questions while transactions are held up, admission by the whole need, the table of meetings

Cause, from reading: one record that can't be read left all questions of its moment without an answer; a comparison that was held up took as long as a user waits; a service that no allowed split over zones holds was accepted; a worker's address that is no number would have been looked up by name.

--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -9,9 +9,9 @@
 from msgspec import Struct
 
 from cloverplank.jobs import records
+from cloverplank.jobs.admission import refusal
 from cloverplank.jobs.book import Pending
 from cloverplank.jobs.limits import Limit
-from cloverplank.jobs.placing import fitting
 from cloverplank.jobs.records import JobRecord, Phase
 from cloverplank.kinds import Clock, JobId
 from cloverplank.net.messages import Request, Response, answer
@@ -23,7 +23,7 @@
 from cloverplank.wire.cloud import MachineType
 from cloverplank.wire.codec import MAX_BODY, BadMessage, decode, json_size
 from cloverplank.wire.statesvc import Commit, Condition, Put
-from cloverplank.wire.users import ErrorAnswer, JobAnswer, JobSpec, decode_submission, valid_job_id
+from cloverplank.wire.users import ErrorAnswer, JobAnswer, decode_submission, valid_job_id
 
 log = logging.getLogger("cloverplank.users")
 
@@ -114,12 +114,12 @@
         types = self._types()
         if not types:
             return _busy()
-        refusal = self._refusal(spec, types)
-        if refusal:
+        why = refusal(spec, self._limits, types.values(), self._zones)
+        if why:
             found = await self._fresh.job(job)
             if found is not None:
                 return answer(200, self._state(job, found))
-            return answer(422, ErrorAnswer(refusal))
+            return answer(422, ErrorAnswer(why))
         record = JobRecord(spec, self._clock.wall())
         if json_size(record) > self._value_bytes * 0.5 or len(body) > MAX_BODY:
             return answer(400, ErrorAnswer("description too large"))
@@ -152,25 +152,6 @@
         found: Found = await self._fresh.job(JobId(job))
         return None if found is None else answer(200, self._state(JobId(job), found))
 
-    def _refusal(self, spec: JobSpec, types: dict[str, MachineType]) -> str:
-        """Why it can never run; empty if it can."""
-        limit = self._limits.get(spec.team)
-        if limit is None:
-            return "unknown team"
-        if spec.zone is not None and spec.zone not in self._zones:
-            return "unknown zone"
-        if not any(
-            fitting(spec, kind.cpus, kind.gpus, kind.memory_gb) > 0
-            for kind in types.values()
-            if (spec.types is None or kind.name in spec.types)
-            and (spec.zone is None or not kind.zones or spec.zone in kind.zones)
-        ):
-            return "a task fits no allowed machine type"
-        tasks = spec.tasks if spec.service or spec.gang else 1
-        if spec.cpus * tasks > limit.cpus + 1e-6 or spec.gpus * tasks > limit.gpus + 1e-6:
-            return "more than the team's limit"
-        return ""
-
     # -- cancelling
 
     async def _cancel(self, job_id: str) -> Response:
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -82,7 +82,7 @@
         self.book = Book()
         self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * facts.state.rps)))
         self.queue = CommitQueue(self.client, self.mirror, clock)
-        self.fresh = Fresh(self.client, self.mirror, facts.state.txn_ops)
+        self.fresh = Fresh(self.client, self.mirror, clock, facts.state.txn_ops)
         workers = facts.workers
         hold_on_s = contact_bound(
             workers.cancel_s, workers.lease_s, operator.hold_on_margin_s, operator.controller_lease_s
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -165,6 +165,8 @@
             if report.machine in self.liars:
                 raise Unanswered("a baton that nobody was granted")
             self._depose(report)
+        if report.machine not in self.machines and len(self.machines) >= MAX_MACHINES:
+            raise Unanswered("too many machines")
         machine = self.machine(report.machine)
         if not machine.fresh(report):
             raise Unanswered("a late copy")
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 from functools import lru_cache
 
 import h11
@@ -71,6 +72,13 @@
     return h11.Request(method=method, target=path, headers=headers)
 
 
+@lru_cache(maxsize=4096)
+def _host_and_port(addr: str) -> tuple[str, int]:
+    """Workers tell their addresses themselves: what is no IPv4 number must not become a look-up of a name."""
+    host, _, port = addr.rpartition(":")
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
 class Client:
     """Pools connections by address. Bounded: past the limit, idle ones of others are closed first."""
 
@@ -132,8 +140,7 @@
                         raise NoRoom("no free connection")
                     self._open += 1
                     try:
-                        host, _, port = addr.rpartition(":")
-                        reader, writer = await asyncio.open_connection(host, int(port))
+                        reader, writer = await asyncio.open_connection(*_host_and_port(addr))
                     except BaseException as err:
                         self._open -= 1
                         if isinstance(err, OSError | ValueError | OverflowError | TimeoutError):
--- a/src/cloverplank/state/client.py
+++ b/src/cloverplank/state/client.py
@@ -148,10 +148,10 @@
             raise Lost("malformed, or no such lease")
         raise Unknown(str(response.status))
 
-    async def compare(self, commit: Commit) -> CommitAnswer:
+    async def compare(self, commit: Commit, timeout: float = 2.0) -> CommitAnswer:
         """A commit without changes: are these still the stamps?"""
         self.requests.force()
-        response = await self._ask("POST", "/commit", commit)
+        response = await self._ask("POST", "/commit", commit, timeout)
         if response.status in (200, 409):
             return self._read(response, CommitAnswer, "compare")
         raise Refused(str(response.status))
--- a/src/cloverplank/state/fresh.py
+++ b/src/cloverplank/state/fresh.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase
-from cloverplank.kinds import JobId, Stamp
+from cloverplank.kinds import Clock, JobId, Stamp
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Commit, Condition
 
@@ -18,12 +18,15 @@
 from .mirror import Mirror
 
 LONGEST_GATHER_S = 0.25
+COMPARE_S = 0.9  # users wait two seconds for an answer
+MAX_READS = 24  # for one comparison; the others of it are asked about again
 Found = JobRecord | Phase | None
 
 
 class Fresh:
-    def __init__(self, client: StateClient, mirror: Mirror, txn_ops: int) -> None:
+    def __init__(self, client: StateClient, mirror: Mirror, clock: Clock, txn_ops: int) -> None:
         self._client = client
+        self._clock = clock
         self._mirror = mirror
         self._batch = max(1, txn_ops * 4 // 2)
         self._asked: dict[JobId, asyncio.Future] = {}
@@ -78,15 +81,33 @@
             conditions.append(Condition(keys.job(job), Stamp(0) if view is None else view.stamp))
             if view is None:
                 conditions.append(Condition(keys.final(job), 0))
-        answer = await self._client.compare(Commit(conditions))
-        failed = set(answer.failed)
+        asked = self._clock.mono()
+        try:
+            answer = await self._client.compare(Commit(conditions), COMPARE_S)
+            failed = set(answer.failed)
+        except Unknown:
+            if self._client.answered_at < asked:
+                raise
+            # Other requests are answered: it is a transaction that is held up. Those asked about are read one by one.
+            failed = {condition.key for condition in conditions}
+        reads = 0
         for job, future in batch.items():
-            if keys.job(job) in failed or keys.final(job) in failed:
-                found = await self._read(job)
+            try:
+                # One that can't be read must not leave the others without an answer.
+                if keys.job(job) in failed or keys.final(job) in failed:
+                    reads += 1
+                    if reads > MAX_READS:
+                        raise Refused("too many questions at once")
+                    found = await self._read(job)
+                else:
+                    found = records.get(job)
+            except (Refused, Unknown) as err:
+                if not future.done():
+                    future.set_exception(err)
+                    future.exception()
             else:
-                found = records.get(job)
-            if not future.done():
-                future.set_result(found)
+                if not future.done():
+                    future.set_result(found)
 
     async def _read(self, job: JobId) -> Found:
         """The job's key before the final one: a job moves from the first to the second."""
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,75 @@
+"""What is refused for good, and nothing else: generated jobs against every way to run them."""
+
+from __future__ import annotations
+
+from itertools import product
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cloverplank.jobs.admission import refusal
+from cloverplank.jobs.limits import Limit
+from cloverplank.wire.cloud import MachineType
+
+from .test_jobs import spec
+from .world.loop import run
+from .world.world import World
+
+ZONES = ["a", "b", "c"]
+TYPES = [MachineType("small", 4.0, 16.0, 1.0, zones=["a"]), MachineType("large", 8.0, 64.0, 2.0, zones=["a", "b"]),
+         MachineType("gpu", 8.0, 64.0, 9.0, gpus=2.0)]
+
+
+def can_run(job, zones: list[str], limit: Limit) -> bool:  # noqa: ANN001
+    """By trying every split over zones of as many tasks as must run at the same time."""
+    tasks = 1 if job.shape == "batch" else job.tasks
+    if tasks * job.cpus > limit.cpus or tasks * job.gpus > limit.gpus:
+        return False
+    fits = {
+        zone for zone in zones for kind in TYPES
+        if (not kind.zones or zone in kind.zones) and (job.types is None or kind.name in job.types)
+        and job.zone in (None, zone) and kind.cpus >= job.cpus and kind.gpus >= job.gpus
+        and kind.memory_gb >= job.memory_gb
+    }
+    for counts in product(range(tasks + 1), repeat=len(zones)):
+        split = {zone: count for zone, count in zip(zones, counts, strict=True) if count}
+        if sum(counts) != tasks or not split.keys() <= fits:
+            continue
+        if (job.one_zone or job.shape == "ensemble") and len(split) > 1:
+            continue
+        if job.spread and max(counts) > (job.tasks + 1) // 2:
+            continue
+        return True
+    return False
+
+
+@given(
+    st.builds(
+        lambda **more: spec(crew="red", **more), shape=st.sampled_from(["batch", "service", "ensemble"]),
+        pieces=st.integers(1, 5), vcpus=st.sampled_from([1.0, 5.0, 9.0]), gpus=st.sampled_from([0.0, 1.0, 3.0]),
+        ram_gb=st.sampled_from([1.0, 32.0, 100.0]), together=st.booleans(), apart=st.booleans(),
+        yard=st.sampled_from([None, *ZONES, "nowhere"]),
+        builds=st.none() | st.lists(st.sampled_from(["small", "large", "gpu", "other"]), max_size=2),
+    ),
+    st.integers(1, 3), st.sampled_from([Limit(6.0, 2.0), Limit(20.0, 4.0), Limit(100.0, 0.0)]),
+)
+def test_a_job_is_refused_exactly_if_no_split_can_ever_run_it(job, count: int, limit: Limit) -> None:  # noqa: ANN001
+    zones = ZONES[:count]
+    assert bool(refusal(job, {"red": limit}, TYPES, zones)) is not can_run(job, zones, limit)
+
+
+def test_a_job_that_is_known_is_never_refused_whatever_a_repeated_submission_says() -> None:
+    async def play() -> None:
+        world = World(seed=80)
+        job = world.job(1, pieces=2)
+        assert await world.submit(job)
+        for change in ({"crew": "none"}, {"vcpus": 900.0}, {"pieces": 0}, {"shape": "heap"}, {"yard": "nowhere"}):
+            for label in world.labels:
+                status, value = await world.ask("POST", "/api/jobs", job | change, label)
+                assert (status, value["id"]) == (200, job["id"])
+        status, _ = await world.ask("POST", "/api/jobs", world.job(2, crew="none"))
+        assert status == 422
+        status, _ = await world.ask("POST", "/api/jobs", {"id": "run-000003"})
+        assert status == 400
+
+    run(play())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from cloverplank.net.client import Client, _Connection
-from cloverplank.net.messages import NoAnswer, Request, Response, answer
+from cloverplank.net.messages import NoAnswer, NotSent, Request, Response, answer
 from cloverplank.net.server import Server
 from cloverplank.net.sockets import Sockets
 
@@ -157,3 +157,16 @@
 
     data = run(play())
     assert data.count(b"HTTP/1.1 200") == 1 and b"Connection: close" in data
+
+
+def test_an_address_that_is_no_number_is_never_looked_up() -> None:
+    """Workers tell their addresses themselves."""
+
+    async def play() -> None:
+        client = Client(8)
+        for addr in ("localhost:80", "worker.example:9000", "", ":1", "10.0.0.1", "10.0.0.1:x", "10.0.0.1:99999999"):
+            with pytest.raises(NotSent):
+                await client.request(addr, "GET", "/")
+        assert client._open == 0
+
+    run(play())
