--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -12,7 +12,8 @@
 
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.fleet.cloud import Cloud, CloudDown
-from cloverplank.fleet.holder import Block, Deposed, Limits, Unanswered
+from cloverplank.fleet.errors import Deposed, Unanswered
+from cloverplank.fleet.holder import Block, Limits
 from cloverplank.fleet.leader import Leader
 from cloverplank.fleet.machines import Health
 from cloverplank.fleet.returning import Returning, is_return
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -11,7 +11,7 @@
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import RANKS, TINY, Rooms, Turn, occupy
+from cloverplank.jobs.placing import TINY, Rooms, Turn
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
@@ -20,13 +20,16 @@
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Urgency
 from cloverplank.wire.cloud import MachineType
-from cloverplank.wire.codec import BadMessage, decode, encode, json_size
+from cloverplank.wire.codec import BadMessage, decode, encode
 from cloverplank.wire.statesvc import Condition
 from cloverplank.wire.workers import ORDERS_PATH, DirectOrders, Order, Report, ReportAnswer
 
+from .errors import Deposed, Unanswered
 from .machines import Health, Machine
 from .packing import Packing
-from .preempting import Preemption, Turnover
+from .placer import Placer
+from .preempting import Turnover
+from .presence import PROBE_S, UNSHOWN_MOST, Presence
 from .returning import Returning
 from .rooming import Rooming
 
@@ -35,35 +38,10 @@
 MAX_ORDERS = 250  # keeps an answer well under 64 KiB
 MAX_MACHINES = 5000
 REAPS = 8  # ended tasks that wait on a machine for other orders to go with: each change there is one more report
-SAFE_RUNS = 40  # fit in any value
-BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
 # Completions of one job are gathered for this long, or for longer where so many arrays run that their
 # commits would take more than a part of the changes a second. What they free is free at once.
 MERGE_S, LONGEST_MERGE_S, DONE_PART = 0.25, 2.5, 0.2
-# Between two looks for room for arrays that aren't urgent, by the machine: among hundreds of them a task ends in
-# every moment, and a commit for each single one kept the urgent waiting for theirs.
-ARRAYS_S, LONGEST_ARRAYS_S = 0.002, 0.5
 DIRECT_S = 2.0
-PROBE_S = 1.0
-MAX_PROBES = 48  # at once: more would take the sockets that orders need
-ASK_AGAIN_S = 5.0  # between two questions to a machine that did not answer the first
-CHECK_S = 0.2  # between two looks at all machines for silence
-MANY = 6.0  # reports expected while a question waits, from where on one at least must have come
-LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
-UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
-UNRESOLVED_S = 3.0
-SEARCH_S = 4.0  # a new holder is found by workers after this long: a time limit of theirs
-# A machine that answers orders and sends no report is mute after this part of its lease, and so many report periods: a
-# worker whose answer was lost is back sooner.
-MUTE_PART, MUTE_REPORTS = 0.7, 3.2
-
-
-class Deposed(Exception):
-    """A worker has seen a higher baton than ours."""
-
-
-class Unanswered(Exception):
-    """A report that gets no answer that renews a lease."""
 
 
 class Limits(Struct, frozen=True):
@@ -102,11 +80,11 @@
         self._mirror = mirror
         self._queue = queue
         self._http = http
-        self._limits = limits
+        self.limits = limits
         self.types = types
-        self._returning = returning
-        self._may_start = may_start
-        self._kick = kick
+        self.returning = returning
+        self.may_start = may_start
+        self.kick = kick
         self.since = clock.mono()
         # What a former holder may have answered until its bound, and then the lease of the worker.
         self.unfenced_gone_at = Mono(self.since + limits.hold_on_s + limits.lease_s * 1.002 + 1.0)
@@ -121,15 +99,12 @@
         self.former_ended = False
         self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
         self.back_off: dict[JobId, Mono] = {}
+        self._presence = Presence(self)
+        self._placer = Placer(self)
         self._packing = Packing(self)
         self._rooming = Rooming(book)
         self.turnover = Turnover(clock)
-        self._short = False  # a replica lacked room in the last round
-        self._jobs_tasks: set[asyncio.Task] = set()
-        self._probes = 0
-        self._checked_at = Mono(-1e9)
-        self._arrays_at = Mono(-1e9)
-        self._arrays = 0  # that have tasks here
+        self.spawned: set[asyncio.Task] = set()
 
     @property
     def conditions(self) -> list[Condition]:
@@ -154,7 +129,7 @@
 
     def released(self, name: str) -> None:
         """The cloud answered 200: the machine and all that was on it are gone."""
-        self._evict(MachineId(name), "released")
+        self.evict(MachineId(name), "released")
         self.machines.pop(MachineId(name), None)
 
     # -- reports
@@ -183,14 +158,14 @@
             if orders or len(reaps) >= REAPS:
                 orders = (reaps + orders)[:MAX_ORDERS]
             machine.in_answer.update(self._refs(orders))
-            if not orders and not machine.unresolved and self._may_start():
+            if not orders and not machine.unresolved and self.may_start():
                 machine.settled = self.book.touched(machine.id)
         machine.unshown = 0 if report.token == self.baton else machine.unshown + 1
         if machine.unshown > UNSHOWN_MOST:
             # It hears none of our answers, or just some of them. Each might renew the lease of tasks
             # that we know nothing of, so there are none until that lease has run out for certain.
             held = machine.health is not Health.TAINTED and bool(self.book.on(machine.id))
-            if held or now < machine.gone_at(self._limits.lease_s, self.unfenced_gone_at):
+            if held or now < machine.gone_at(self.limits.lease_s, self.unfenced_gone_at):
                 raise Unanswered("our answers don't reach it")
             machine.unshown = 1
         machine.answered_at = self.clock.mono()
@@ -242,17 +217,17 @@
         if not in_answer or (shown is not None and shown < report.token):
             machine.prove()
         if machine.health is not Health.UP:
-            if machine.proven and self._reportless(machine, now) > self._limits.quiet_after_s:
+            if machine.proven and self._presence.reportless(machine, now) > self.limits.quiet_after_s:
                 machine.move(Health.QUIET, "it answers, and its reports are missing")
             elif machine.proven:
                 machine.move(Health.UP, "report")
-                self._kick()
+                self.kick()
             else:
                 machine.move(Health.DOUBTED, "a report after a silence or a new session")
         elif not machine.proven:
             machine.move(Health.DOUBTED, "a new session")
         if machine.health is Health.DOUBTED:
-            self._probe(machine)
+            self._presence.probe(machine)
         self._outcomes(machine)
         return True
 
@@ -295,12 +270,12 @@
             last = sum(1 for t in tasks if t.done) >= open_tasks
             soon = last or any(not t.done for t in tasks)
             delay = 0.0 if soon else self._merge_s()
-            self._change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, delay)
+            self.change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, delay)
         if ended:
-            self._kick()
+            self.kick()
 
     def _merge_s(self) -> float:
-        return min(LONGEST_MERGE_S, max(MERGE_S, self._arrays / (DONE_PART * self._limits.write_rps)))
+        return min(LONGEST_MERGE_S, max(MERGE_S, self._placer.arrays / (DONE_PART * self.limits.write_rps)))
 
     def _error(self, machine: Machine, job: JobId) -> None:
         """Judges both: a machine on which several jobs fail, a job that fails on several machines."""
@@ -319,7 +294,7 @@
         if not machine.failed_jobs:
             return False
         blame = sum(1 for job in machine.failed_jobs if len(self.errors.get(JobId(job), ())) < 3)
-        return blame >= self._limits.faulty_errors
+        return blame >= self.limits.faulty_errors
 
     @staticmethod
     def placed_refs(record: JobRecord, machine: MachineId) -> list[TaskRef]:
@@ -347,7 +322,7 @@
                 orders.append(Order("stop", ref.name, ref.attempt, 0.0))
             elif ref in self.stops and task.state != "saving":
                 orders.append(Order("stop", ref.name, ref.attempt, self.stops[ref].grace_s))
-        if machine.health is Health.UP and self._may_start():
+        if machine.health is Health.UP and self.may_start():
             for view in self.book.on(machine.id):
                 if not self.book.wanted(view) or view.staged.phase is not Phase.OPEN:
                     continue
@@ -382,8 +357,8 @@
             return
         machine.pushing = True
         task = asyncio.ensure_future(self._push(machine))
-        self._jobs_tasks.add(task)
-        task.add_done_callback(self._jobs_tasks.discard)
+        self.spawned.add(task)
+        task.add_done_callback(self.spawned.discard)
 
     async def _push(self, machine: Machine) -> None:
         try:
@@ -394,14 +369,14 @@
                 orders, reaps = self._orders(machine)
                 if not orders:
                     return
-                await self._send(machine, (reaps + orders)[:MAX_ORDERS])
+                await self.send(machine, (reaps + orders)[:MAX_ORDERS])
                 again = machine.push_again
         except Deposed:
             pass
         finally:
             machine.pushing = False
 
-    async def _send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool | None:
+    async def send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool | None:
         """True: carried out. False: refused, or no answer. None: nothing can be said of the machine."""
         started = set(self._refs(orders))
         machine.in_orders |= started
@@ -440,10 +415,10 @@
         machine.pushing = True
         try:
             session = machine.session
-            await self._send(machine, [], PROBE_S)
+            await self.send(machine, [], PROBE_S)
             if not machine.fenced and machine.session != session:
                 # Refused for its session, which we had to guess: a worker takes no baton from such orders.
-                await self._send(machine, [], PROBE_S)
+                await self.send(machine, [], PROBE_S)
         except Deposed:
             pass
         finally:
@@ -453,12 +428,12 @@
 
     # -- the round: health, stops, placement
 
-    def _change(self, view: JobView, change: records.Change, urgency: Urgency, delay: float = 0.0,
+    def change(self, view: JobView, change: records.Change, urgency: Urgency, delay: float = 0.0,
                 plan: str = "") -> None:
         ready = Mono(self.clock.mono() + delay)
         self._queue.change(view, Pending(change, int(urgency), ready, self.conditions, plan=plan))
 
-    def _evict(self, machine: MachineId, why: str) -> None:
+    def evict(self, machine: MachineId, why: str) -> None:
         views = [
             v for v in self.book.on(machine)
             if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
@@ -467,167 +442,18 @@
             log.info("eviction: machine %s %s: %d jobs: %s", machine, why, len(views),
                      " ".join(v.id for v in views[:10]))
         for view in views:
-            self._change(view, records.evict(machine, self.clock.wall()), Urgency.PLACE)
+            self.change(view, records.evict(machine, self.clock.wall()), Urgency.PLACE)
 
-    def check_machines(self) -> None:
-        """Silence becomes a taint, a taint evicts; a return within the lease is as if nothing was."""
-        now = self.clock.mono()
-        limits = self._limits
-        if now - self._checked_at < CHECK_S:
-            return
-        self._checked_at = now
-        for name in [m for m in self.book.by_machine if m not in self.machines]:
-            if self._returning.gone(name):
-                # Released before this holder had the block, or its eviction was lost with the former one.
-                if self._may_start():
-                    self._evict(name, "released")
-                continue
-            # Placed by a former holder on a machine that nobody has told us of yet.
-            if any(run.zone == self.zone for view in self.book.on(name)
-                   for run in view.record.runs_on.get(name, ())):
-                self.machine(name)
-        if not self._may_start():
-            return  # without the state service nothing that it judged could be committed
-        for machine in list(self.machines.values()):
-            heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
-            silent = now - max(heard_at, self.since)
-            without = self._reportless(machine, now)
-            if machine.health in (Health.UP, Health.DOUBTED) and max(silent, without) > limits.quiet_after_s:
-                machine.move(Health.QUIET, f"no report for {without:.1f} s, silent for {silent:.1f} s")
-                machine.proven = False
-            gone_at = machine.gone_at(limits.lease_s, self.unfenced_gone_at)
-            if machine.health is not Health.TAINTED and silent >= limits.taint_after_s and now >= gone_at:
-                self._taint(machine, silent)
-            if machine.deaf():
-                self._evict_absent(machine, "deaf")
-            self._check_mute(machine, now)
-            if machine.health is Health.TAINTED:
-                self._evict(machine.id, "tainted")
-                machine.in_answer.clear()
-                machine.in_orders.clear()
-                machine.unresolved.clear()
-                machine.tasks.clear()
-                if silent > 600 and not self.book.on(machine.id):
-                    del self.machines[machine.id]
-            elif machine.health is Health.DOUBTED or (silent >= limits.release_after_s > 0 and (
-                machine.health is Health.QUIET or self.book.on(machine.id)
-            )):
-                self._probe(machine)
-            self._check_unresolved(machine, now)
-            self._check_notice(machine, now)
-        for ref in [r for r, stop in self.stops.items() if now - stop.at > 60 or self.book.get(r.job) is None]:
-            del self.stops[ref]
-
-    def _reportless(self, machine: Machine, now: Mono) -> float:
-        """For how long no report has come, beyond what a new holder must grant workers to find it."""
-        return now - max(machine.reported_at, machine.since, Mono(self.since + SEARCH_S))
-
-    def _check_mute(self, machine: Machine, now: Mono) -> None:
-        """Direct commands reach it, and its reports reach nobody: no answer renews its lease, which ends its tasks.
-        What can be saved is saved before that; then it is lost, and its release proves its tasks gone. Where no
-        release is to be had, its next session does."""
-        without = self._reportless(machine, now)
-        if machine.health is not Health.QUIET or machine.heard_at <= machine.reported_at or (
-            without < max(MUTE_PART * self._limits.lease_s, MUTE_REPORTS * self._limits.report_s)
-        ):
-            return
-        if self._deaf_since(now):
-            return  # nobody's reports come: it may be us
-        saving = [
-            (ref, view.record.spec.save_s) for view in self.book.on(machine.id) if view.record.spec.checkpoint_s > 0
-            for ref in self.placed_refs(view.record, machine.id)
-            if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
-        ]
-        for ref, save_s in saving:
-            self.stop(ref, machine, save_s + 1.0, "mute")
-        if saving and without < self._limits.lease_s:
-            return
-        self._lose(machine, now, f"mute, no report for {without:.1f} s: lost")
-        self._evict_absent(machine, "mute")
-
-    def _lose(self, machine: Machine, now: Mono, why: str) -> None:
-        """Has it released, unless so many are lost that it may be us."""
-        lost = sum(1 for m in self.machines.values() if m.lost_since is not None and m is not machine)
-        if lost < max(2, 0.6 * len(self.machines)):
-            if machine.lost_since is None:
-                log.info("machine %s: %s", machine.id, why)
-            machine.lost_since = now
-            self._kick()  # the leader should hear of it in the next round
-
-    def _evict_absent(self, machine: Machine, why: str) -> None:
-        """Its newest report shows that its tasks are gone, and no start can be on its way to it any more: they are
-        placed elsewhere."""
-        refs = [ref for view in self.book.on(machine.id) for ref in self.placed_refs(view.record, machine.id)]
-        if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
-            self._evict(machine.id, why)
-
-    def _taint(self, machine: Machine, silent: float) -> None:
-        if machine.health is Health.UNHEARD and not self.book.on(machine.id):
-            return  # it never came up, and nothing is on it
-        machine.move(Health.TAINTED, f"silent for {silent:.1f} s, lease run out")
-        machine.fenced = False
-        self._kick()
-
-    def _probe(self, machine: Machine) -> None:
-        """Asks a silent machine directly; without an answer it is lost, and its release proves its tasks
-        gone sooner than its lease does."""
-        if machine.probing or machine.pushing or not machine.addr:
-            return
-        if machine.lost_since is not None and self.clock.mono() - machine.lost_since < ASK_AGAIN_S:
-            return
-        if self._probes >= MAX_PROBES:
-            return
-        machine.probing = True
-        self._probes += 1
-        task = asyncio.ensure_future(self._ask(machine))
-        self._jobs_tasks.add(task)
-        task.add_done_callback(self._jobs_tasks.discard)
-
-    async def _ask(self, machine: Machine) -> None:
-        asked = self.clock.mono()
-        doubted = machine.health is Health.DOUBTED
-        try:
-            heard = await self._send(machine, [], PROBE_S)
-        except Deposed:
-            return
-        finally:
-            machine.probing = False
-            self._probes -= 1
-        now = self.clock.mono()
-        if heard or heard is None or machine.proven or now - asked > PROBE_S + LATE_S:
-            return  # it is there, or it is we who could not ask
-        if self._deaf_since(asked) or (machine.heard_at > asked and not doubted):
-            return  # it may be us who can't hear
-        self._lose(machine, now, "{} for {:.1f} s and no answer: lost".format(
-            "heard, but deaf" if doubted else "silent", asked - machine.heard_at))
-
-    def _deaf_since(self, asked: Mono) -> bool:
-        """While many machines should report, one of them would have since the question was sent. A report
-        period's grace let a holder that had just been cut off from its workers release dozens that were well."""
-        expected = sum(1 for m in self.machines.values() if m.health is Health.UP)
-        grace = self._limits.report_s * max(0.0, 1 - PROBE_S * expected / (MANY * self._limits.report_s))
-        return self.last_report_at < asked - grace
-
-    def _check_unresolved(self, machine: Machine, now: Mono) -> None:
-        for ref, (_, baton, since) in machine.unresolved.items():
-            if baton == self.baton and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
-                # It reports, so its lease won't end the matter: a new baton does.
-                if not self.bump_wanted:
-                    log.info("block %s: orders for %s on %s may come late: new baton wanted",
-                             self.zone, ref.name, machine.id)
-                self.bump_wanted = True
-                return
-
-    def _check_notice(self, machine: Machine, now: Mono) -> None:
+    def check_notice(self, machine: Machine, now: Mono) -> None:
         """The cloud takes it away: tasks that can save do, in time; the others go on while they can."""
-        faulty = self._returning.why(machine.id) not in (None, "idle")
+        faulty = self.returning.why(machine.id) not in (None, "idle")
         if machine.ends_at is None and not faulty:
             return
         left = 0.0 if machine.ends_at is None else machine.ends_at - now
         for view in self.book.on(machine.id):
             spec = view.record.spec
             can_save = spec.checkpoint_s > 0
-            lead = spec.save_s + 1.0 + self._limits.report_s if can_save else self._limits.report_s * 0.6
+            lead = spec.save_s + 1.0 + self.limits.report_s if can_save else self.limits.report_s * 0.6
             if faulty or left <= lead:
                 for ref in self.placed_refs(view.record, machine.id):
                     grace = max(spec.save_s, left - 0.5) if can_save else 0.0
@@ -651,113 +477,25 @@
                 continue
             if self.book.load(machine.id).cpus + least_cpus > kind.cpus + TINY:
                 continue  # full for this round: under a backlog most are
-            if machine.id in self._returning or self.faulty(machine) or machine.id in self._packing.emptying:
+            if machine.id in self.returning or self.faulty(machine) or machine.id in self._packing.emptying:
                 continue
             result.append(self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images))
         return Rooms(result, least_cpus)
 
+    def check_machines(self) -> None:
+        self._presence.check()
+
     def place(self, turns: list[Turn], headroom: Headroom) -> None:
         """Places what is allotted to this zone, in order."""
-        if not self._may_start() or self.deposed:
-            return
-        now = self.clock.mono()
-        arrays_too = now - self._arrays_at >= min(LONGEST_ARRAYS_S, ARRAYS_S * len(self.machines))
-        if arrays_too:
-            self._arrays_at = now
-            self._arrays = sum(1 for t in turns if not t.record.spec.service and t.record.placed(self.zone))
-        wanting: list[tuple[Turn, JobView]] = []
-        for turn in turns:
-            view = self.book.get(turn.record.id)
-            if view is None or not view.staged.missing_count():
-                continue
-            if not arrays_too and not view.record.spec.service and RANKS[view.record.spec.rank] > RANKS["urgent"]:
-                continue
-            turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
-            if turn.record.allot.get(self.zone, 0) > turn.record.placed(self.zone):
-                wanting.append((turn, view))
-        self._short = False
-        if not wanting:
-            return  # most rounds: no look at hundreds of machines for nobody
-        rooms = self.rooms(min(turn.record.spec.cpus for turn, _ in wanting))
-        spare = headroom.reserve(rooms, self.zone, self.clock.wall())
-        waiting: list[tuple[Turn, int]] = []
-        for turn, view in wanting:
-            try:
-                left = self._place_job(view, turn, rooms, spare, headroom.serves(turn.record.spec), now)
-            except Exception:
-                # One job that meets a fault of ours must not keep all others waiting.
-                log.exception("job %s can't be placed", view.id)
-                continue
-            if left > 0:
-                waiting.append((turn, left))
-        self._short = any(turn.record.spec.service for turn, _ in waiting)
-        Preemption(self, turns).run(waiting, headroom.serves)
-
-    def _place_job(self, view: JobView, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
-        """Places what there is room for; returns how many tasks lack it. `spare`: the rooms less what is
-        kept ready for others; `ready`: this job is one of those."""
-        record = turn.record
-        spec = record.spec
-        most = min(record.allot.get(self.zone, 0) - record.placed(self.zone), record.missing_count())
-        if most <= 0 or self.back_off.get(record.id, 0.0) > now or view.planned("place"):
-            return 0
-        if spec.gang and (record.runs or most < record.missing_count()):
-            self._gather(view)  # what is left of it stops, then it starts again whole
-            return 0
-        most_runs = self._runs_left(record)
-        if most_runs <= 0:
-            return 0  # the record is as large as it may get; it goes on as tasks end
-        usable, others = (rooms, spare) if ready else (spare, rooms)
-        if spec.gang and usable.free(spec, self.zone, most, turn.pressing) < most:
-            return most
-        bad = self.errors.get(record.id, {})
-        allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
-        placements = usable.fill(record, self.zone, most if spec.gang else min(most, 400), turn.pressing, allowed)
-        if len(placements) > most_runs and not spec.gang:
-            # The fullest pieces: a record over the limit would be refused whole, again and again.
-            placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
-        for placement in placements:
-            occupy(others.by_name[placement.machine], spec, placement.count)
-        if placements:
-            log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
-            self._change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
-        return most - sum(p.count for p in placements)
-
-    def _runs_left(self, record: JobRecord) -> int:
-        """On how many more machines tasks may be placed before the record is as large as a value may be."""
-        if len(record.runs) + record.missing_count() <= SAFE_RUNS:
-            return SAFE_RUNS
-        return int((self._limits.value_bytes * 0.85 - json_size(record)) / BYTES_A_RUN)
-
-    def pack(self, headroom: Headroom) -> None:
-        if self._may_start() and not self.deposed:
-            self._packing.run(headroom, self._short)
-
-    def _gather(self, view: JobView) -> None:
-        """A gang that lost a member: its other members save and stop."""
-        for run in view.record.runs:
-            machine = self.machines.get(MachineId(run.machine))
-            if machine is not None:
-                for index in numbers(run.tasks):
-                    ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
-                    self.stop(ref, machine, view.record.spec.save_s + 1.0, "gang lost a member")
+        if self.may_start() and not self.deposed:
+            self._placer.run(turns, headroom)
 
     def settle_evictions(self) -> None:
-        """Drops eviction entries whose replacements are healthy, or that are too old."""
-        now = self.clock.wall()
-        for view in self.book.jobs.values():
-            entries = view.staged.evictions
-            if not entries or view.pending:
-                continue
-            newest = max(entry.since_attempt for entry in entries)
-            healthy = view.record.missing_count() == 0 and all(
-                self.is_running(TaskRef(view.id, index, run.attempt), run.machine)  # type: ignore[arg-type]
-                for run in view.record.runs
-                if run.attempt >= newest and run.zone == self.zone
-                for index in numbers(run.tasks)
-            )
-            if healthy or any(now - e.at >= self._limits.eviction_limit_ms for e in entries):
-                self._change(view, records.settle(healthy, now, self._limits.eviction_limit_ms), Urgency.DONE, 1.0)
+        self._placer.settle_evictions()
+
+    def pack(self, headroom: Headroom) -> None:
+        if self.may_start() and not self.deposed:
+            self._packing.run(headroom, self._placer.short)
 
     def is_running(self, ref: TaskRef, machine: str) -> bool:
         found = self.machines.get(MachineId(machine))
@@ -769,7 +507,7 @@
         if self.former_ended:
             return
         self.former_ended = True
-        gone_at = Mono(self.clock.mono() + self._limits.lease_s * 1.002 + 0.5)
+        gone_at = Mono(self.clock.mono() + self.limits.lease_s * 1.002 + 0.5)
         if gone_at < self.unfenced_gone_at:
             log.info("block %s: former holders have ended", self.zone)
             self.unfenced_gone_at = gone_at
@@ -782,5 +520,5 @@
         self.bump_wanted = False
 
     def close(self) -> None:
-        for task in self._jobs_tasks:
+        for task in self.spawned:
             task.cancel()
--- /dev/null
+++ b/src/cloverplank/fleet/placer.py
@@ -0,0 +1,138 @@
+"""Placing inside a block: what the leader allotted to its zone, on the machines that it has."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from cloverplank.jobs import records
+from cloverplank.jobs.book import JobView
+from cloverplank.jobs.headroom import Headroom
+from cloverplank.jobs.placing import RANKS, Rooms, Turn, occupy
+from cloverplank.jobs.ranges import numbers
+from cloverplank.jobs.records import JobRecord
+from cloverplank.kinds import MachineId, Mono, TaskRef
+from cloverplank.state.queue import Urgency
+from cloverplank.wire.codec import json_size
+
+from .preempting import Preemption
+
+if TYPE_CHECKING:
+    from .holder import Block
+
+log = logging.getLogger("cloverplank.holder")
+
+SAFE_RUNS = 40  # fit in any value
+BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
+# Between two looks for room for arrays that aren't urgent, by the machine: among hundreds of them a task ends in
+# every moment, and a commit for each single one kept the urgent waiting for theirs.
+ARRAYS_S, LONGEST_ARRAYS_S = 0.002, 0.5
+
+
+class Placer:
+    def __init__(self, block: Block) -> None:
+        self._block = block
+        self.short = False  # a replica lacked room in the last round
+        self.arrays = 0  # that have tasks here
+        self._arrays_at = Mono(-1e9)
+
+    def run(self, turns: list[Turn], headroom: Headroom) -> None:
+        """One round."""
+        block = self._block
+        now = block.clock.mono()
+        arrays_too = now - self._arrays_at >= min(LONGEST_ARRAYS_S, ARRAYS_S * len(block.machines))
+        if arrays_too:
+            self._arrays_at = now
+            self.arrays = sum(1 for t in turns if not t.record.spec.service and t.record.placed(block.zone))
+        wanting: list[tuple[Turn, JobView]] = []
+        for turn in turns:
+            view = block.book.get(turn.record.id)
+            if view is None or not view.staged.missing_count():
+                continue
+            if not arrays_too and not view.record.spec.service and RANKS[view.record.spec.rank] > RANKS["urgent"]:
+                continue
+            turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
+            if turn.record.allot.get(block.zone, 0) > turn.record.placed(block.zone):
+                wanting.append((turn, view))
+        self.short = False
+        if not wanting:
+            return  # most rounds: no look at hundreds of machines for nobody
+        rooms = block.rooms(min(turn.record.spec.cpus for turn, _ in wanting))
+        spare = headroom.reserve(rooms, block.zone, block.clock.wall())
+        waiting: list[tuple[Turn, int]] = []
+        for turn, view in wanting:
+            try:
+                left = self._job(view, turn, rooms, spare, headroom.serves(turn.record.spec), now)
+            except Exception:
+                # One job that meets a fault of ours must not keep all others waiting.
+                log.exception("job %s can't be placed", view.id)
+                continue
+            if left > 0:
+                waiting.append((turn, left))
+        self.short = any(turn.record.spec.service for turn, _ in waiting)
+        Preemption(block, turns).run(waiting, headroom.serves)
+
+    def _job(self, view: JobView, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
+        """Places what there is room for; returns how many tasks lack it. `spare`: the rooms less what is
+        kept ready for others; `ready`: this job is one of those."""
+        block = self._block
+        record = turn.record
+        spec = record.spec
+        most = min(record.allot.get(block.zone, 0) - record.placed(block.zone), record.missing_count())
+        if most <= 0 or block.back_off.get(record.id, 0.0) > now or view.planned("place"):
+            return 0
+        if spec.gang and (record.runs or most < record.missing_count()):
+            self._gather(view)  # what is left of it stops, then it starts again whole
+            return 0
+        most_runs = self._runs_left(record)
+        if most_runs <= 0:
+            return 0  # the record is as large as it may get; it goes on as tasks end
+        usable, others = (rooms, spare) if ready else (spare, rooms)
+        if spec.gang and usable.free(spec, block.zone, most, turn.pressing) < most:
+            return most
+        bad = block.errors.get(record.id, {})
+        allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
+        placements = usable.fill(record, block.zone, most if spec.gang else min(most, 400), turn.pressing, allowed)
+        if len(placements) > most_runs and not spec.gang:
+            # The fullest pieces: a record over the limit would be refused whole, again and again.
+            placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
+        for placement in placements:
+            occupy(others.by_name[placement.machine], spec, placement.count)
+        if placements:
+            log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
+            block.change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
+        return most - sum(p.count for p in placements)
+
+    def _runs_left(self, record: JobRecord) -> int:
+        """On how many more machines tasks may be placed before the record is as large as a value may be."""
+        if len(record.runs) + record.missing_count() <= SAFE_RUNS:
+            return SAFE_RUNS
+        return int((self._block.limits.value_bytes * 0.85 - json_size(record)) / BYTES_A_RUN)
+
+    def _gather(self, view: JobView) -> None:
+        """A gang that lost a member: its other members save and stop."""
+        block = self._block
+        for run in view.record.runs:
+            machine = block.machines.get(MachineId(run.machine))
+            if machine is not None:
+                for index in numbers(run.tasks):
+                    ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
+                    block.stop(ref, machine, view.record.spec.save_s + 1.0, "gang lost a member")
+
+    def settle_evictions(self) -> None:
+        """Drops eviction entries whose replacements are healthy, or that are too old."""
+        block = self._block
+        now = block.clock.wall()
+        for view in block.book.jobs.values():
+            entries = view.staged.evictions
+            if not entries or view.pending:
+                continue
+            newest = max(entry.since_attempt for entry in entries)
+            healthy = view.record.missing_count() == 0 and all(
+                block.is_running(TaskRef(view.id, index, run.attempt), run.machine)  # type: ignore[arg-type]
+                for run in view.record.runs
+                if run.attempt >= newest and run.zone == block.zone
+                for index in numbers(run.tasks)
+            )
+            if healthy or any(now - e.at >= block.limits.eviction_limit_ms for e in entries):
+                block.change(view, records.settle(healthy, now, block.limits.eviction_limit_ms), Urgency.DONE, 1.0)
--- /dev/null
+++ b/src/cloverplank/fleet/presence.py
@@ -0,0 +1,199 @@
+"""Presence: which machines of a block are there, by their reports, by direct questions and by the clock."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from cloverplank.kinds import Mono
+
+from .errors import Deposed
+from .machines import Health, Machine
+
+if TYPE_CHECKING:
+    from .holder import Block
+
+log = logging.getLogger("cloverplank.holder")
+
+PROBE_S = 1.0
+MAX_PROBES = 48  # at once: more would take the sockets that orders need
+ASK_AGAIN_S = 5.0  # between two questions to a machine that did not answer the first
+CHECK_S = 0.2  # between two looks at all machines for silence
+MANY = 6.0  # reports expected while a question waits, from where on one at least must have come
+LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
+UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
+UNRESOLVED_S = 3.0
+SEARCH_S = 4.0  # a new holder is found by workers after this long: a time limit of theirs
+# A machine that answers orders and sends no report is mute after this part of its lease, and so many report periods: a
+# worker whose answer was lost is back sooner.
+MUTE_PART, MUTE_REPORTS = 0.7, 3.2
+
+
+class Presence:
+    """One block's judgement of its machines. It evicts what is proven gone, and has lost machines released."""
+
+    def __init__(self, block: Block) -> None:
+        self._block = block
+        self.probes = 0
+        self._checked_at = Mono(-1e9)
+
+    def check(self) -> None:
+        """Silence becomes a taint, a taint evicts; a return within the lease is as if nothing was."""
+        block = self._block
+        now = block.clock.mono()
+        limits = block.limits
+        if now - self._checked_at < CHECK_S:
+            return
+        self._checked_at = now
+        for name in [m for m in block.book.by_machine if m not in block.machines]:
+            if block.returning.gone(name):
+                # Released before this holder had the block, or its eviction was lost with the former one.
+                if block.may_start():
+                    block.evict(name, "released")
+                continue
+            # Placed by a former holder on a machine that nobody has told us of yet.
+            if any(run.zone == block.zone for view in block.book.on(name)
+                   for run in view.record.runs_on.get(name, ())):
+                block.machine(name)
+        if not block.may_start():
+            return  # without the state service nothing that it judged could be committed
+        for machine in list(block.machines.values()):
+            heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
+            silent = now - max(heard_at, block.since)
+            if machine.health in (Health.UP, Health.DOUBTED):
+                without = self.reportless(machine, now)
+                if max(silent, without) > limits.quiet_after_s:
+                    machine.move(Health.QUIET, f"no report for {without:.1f} s, silent for {silent:.1f} s")
+                    machine.proven = False
+            gone_at = machine.gone_at(limits.lease_s, block.unfenced_gone_at)
+            if machine.health is not Health.TAINTED and silent >= limits.taint_after_s and now >= gone_at:
+                self._taint(machine, silent)
+            if machine.deaf():
+                self._evict_absent(machine, "deaf")
+            if machine.health is Health.QUIET:
+                self._check_mute(machine, now)
+            if machine.health is Health.TAINTED:
+                block.evict(machine.id, "tainted")
+                machine.in_answer.clear()
+                machine.in_orders.clear()
+                machine.unresolved.clear()
+                machine.tasks.clear()
+                if silent > 600 and not block.book.on(machine.id):
+                    del block.machines[machine.id]
+            elif machine.health is Health.DOUBTED or (silent >= limits.release_after_s > 0 and (
+                machine.health is Health.QUIET or block.book.on(machine.id)
+            )):
+                self.probe(machine)
+            self._check_unresolved(machine, now)
+            block.check_notice(machine, now)
+        for ref in [r for r, stop in block.stops.items() if now - stop.at > 60 or block.book.get(r.job) is None]:
+            del block.stops[ref]
+
+    def reportless(self, machine: Machine, now: Mono) -> float:
+        """For how long no report has come, beyond what a new holder must grant workers to find it."""
+        return now - max(machine.reported_at, machine.since, Mono(self._block.since + SEARCH_S))
+
+    def _check_mute(self, machine: Machine, now: Mono) -> None:
+        """Direct commands reach it, and its reports reach nobody: no answer renews its lease, which ends its tasks.
+        What can be saved is saved before that; then it is lost, and its release proves its tasks gone. Where no
+        release is to be had, its next session does."""
+        block = self._block
+        without = self.reportless(machine, now)
+        if machine.heard_at <= machine.reported_at or (
+            without < max(MUTE_PART * block.limits.lease_s, MUTE_REPORTS * block.limits.report_s)
+        ):
+            return
+        if self.deaf_since(now):
+            return  # nobody's reports come: it may be us
+        saving = [
+            (ref, view.record.spec.save_s) for view in block.book.on(machine.id) if view.record.spec.checkpoint_s > 0
+            for ref in block.placed_refs(view.record, machine.id)
+            if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
+        ]
+        for ref, save_s in saving:
+            block.stop(ref, machine, save_s + 1.0, "mute")
+        if saving and without < block.limits.lease_s:
+            return
+        self._lose(machine, now, f"mute, no report for {without:.1f} s: lost")
+        self._evict_absent(machine, "mute")
+
+    def _lose(self, machine: Machine, now: Mono, why: str) -> None:
+        """Has it released, unless so many are lost that it may be us."""
+        block = self._block
+        lost = sum(1 for m in block.machines.values() if m.lost_since is not None and m is not machine)
+        if lost < max(2, 0.6 * len(block.machines)):
+            if machine.lost_since is None:
+                log.info("machine %s: %s", machine.id, why)
+            machine.lost_since = now
+            block.kick()  # the leader should hear of it in the next round
+
+    def _evict_absent(self, machine: Machine, why: str) -> None:
+        """Its newest report shows that its tasks are gone, and no start can be on its way to it any more: they are
+        placed elsewhere."""
+        block = self._block
+        refs = [ref for view in block.book.on(machine.id) for ref in block.placed_refs(view.record, machine.id)]
+        if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
+            block.evict(machine.id, why)
+
+    def _taint(self, machine: Machine, silent: float) -> None:
+        block = self._block
+        if machine.health is Health.UNHEARD and not block.book.on(machine.id):
+            return  # it never came up, and nothing is on it
+        machine.move(Health.TAINTED, f"silent for {silent:.1f} s, lease run out")
+        machine.fenced = False
+        block.kick()
+
+    def probe(self, machine: Machine) -> None:
+        """Asks a silent machine directly; without an answer it is lost, and its release proves its tasks
+        gone sooner than its lease does."""
+        block = self._block
+        if machine.probing or machine.pushing or not machine.addr:
+            return
+        if machine.lost_since is not None and block.clock.mono() - machine.lost_since < ASK_AGAIN_S:
+            return
+        if self.probes >= MAX_PROBES:
+            return
+        machine.probing = True
+        self.probes += 1
+        task = asyncio.ensure_future(self.ask(machine))
+        block.spawned.add(task)
+        task.add_done_callback(block.spawned.discard)
+
+    async def ask(self, machine: Machine) -> None:
+        block = self._block
+        asked = block.clock.mono()
+        doubted = machine.health is Health.DOUBTED
+        try:
+            heard = await block.send(machine, [], PROBE_S)
+        except Deposed:
+            return
+        finally:
+            machine.probing = False
+            self.probes -= 1
+        now = block.clock.mono()
+        if heard or heard is None or machine.proven or now - asked > PROBE_S + LATE_S:
+            return  # it is there, or it is we who could not ask
+        if self.deaf_since(asked) or (machine.heard_at > asked and not doubted):
+            return  # it may be us who can't hear
+        self._lose(machine, now, "{} for {:.1f} s and no answer: lost".format(
+            "heard, but deaf" if doubted else "silent", asked - machine.heard_at))
+
+    def deaf_since(self, asked: Mono) -> bool:
+        """While many machines should report, one of them would have since the question was sent. A report
+        period's grace let a holder that had just been cut off from its workers release dozens that were well."""
+        block = self._block
+        expected = sum(1 for m in block.machines.values() if m.health is Health.UP)
+        grace = block.limits.report_s * max(0.0, 1 - PROBE_S * expected / (MANY * block.limits.report_s))
+        return block.last_report_at < asked - grace
+
+    def _check_unresolved(self, machine: Machine, now: Mono) -> None:
+        block = self._block
+        for ref, (_, baton, since) in machine.unresolved.items():
+            if baton == block.baton and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
+                # It reports, so its lease won't end the matter: a new baton does.
+                if not block.bump_wanted:
+                    log.info("block %s: orders for %s on %s may come late: new baton wanted",
+                             block.zone, ref.name, machine.id)
+                block.bump_wanted = True
+                return
