Mute machines are seen among many; the checker judges starts, beginnings and waiting

Cause: whether it is the holder that hears nobody was judged by this very moment instead of by the last second, so with sixteen machines or more no machine was ever called mute, and its tasks' places were kept. The test fails on the code before.

--- a/src/cloverplank/fleet/presence.py
+++ b/src/cloverplank/fleet/presence.py
@@ -58,6 +58,7 @@
                 block.machine(name)
         if not block.may_start():
             return  # without the state service nothing that it judged could be committed
+        deaf = self.deaf_since(Mono(now - PROBE_S))
         for machine in list(block.machines.values()):
             heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
             silent = now - max(heard_at, block.since)
@@ -72,7 +73,7 @@
             if machine.deaf():
                 self._evict_absent(machine, "deaf")
             if machine.health is Health.QUIET:
-                self._check_mute(machine, now)
+                self._check_mute(machine, now, deaf)
             if machine.health is Health.TAINTED:
                 block.evict(machine.id, "tainted")
                 machine.in_answer.clear()
@@ -94,7 +95,7 @@
         """For how long no report has come, beyond what a new holder must grant workers to find it."""
         return now - max(machine.reported_at, machine.since, Mono(self._block.since + SEARCH_S))
 
-    def _check_mute(self, machine: Machine, now: Mono) -> None:
+    def _check_mute(self, machine: Machine, now: Mono, deaf: bool) -> None:
         """Direct commands reach it, and its reports reach nobody: no answer renews its lease, which ends its tasks.
         What can be saved is saved before that; then it is lost, and its release proves its tasks gone. Where no
         release is to be had, its next session does."""
@@ -104,7 +105,7 @@
             without < max(MUTE_PART * block.limits.lease_s, MUTE_REPORTS * block.limits.report_s)
         ):
             return
-        if self.deaf_since(now):
+        if deaf:
             return  # nobody's reports come: it may be us
         saving = [
             (ref, view.record.spec.save_s) for view in block.book.on(machine.id) if view.record.spec.checkpoint_s > 0
@@ -115,7 +116,8 @@
             block.stop(ref, machine, save_s + 1.0, "mute")
         if saving and without < block.limits.lease_s:
             return
-        self._lose(machine, now, f"mute, no report for {without:.1f} s: lost")
+        if machine.lost_since is None:
+            self._lose(machine, now, f"mute, no report for {without:.1f} s: lost")
         self._evict_absent(machine, "mute")
 
     def _lose(self, machine: Machine, now: Mono, why: str) -> None:
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cloverplank.api import users
-from cloverplank.fleet import holder, machines, presence
+from cloverplank.fleet import holder, machines, placer, presence
 from cloverplank.jobs import limits, placing, records
 from cloverplank.net.messages import answer
 from cloverplank.state import fresh, session
@@ -151,6 +151,74 @@
     assert "forgotten" in broken(jobs=4)
 
 
+def test_starved(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Some tasks of a job run, and the others wait beside machines with room."""
+    real = placer.Placer._job
+
+    def only_once(self, view, turn, *more):  # noqa: ANN001, ANN002, ANN202
+        if view.record.spec.service and view.record.next > 1:
+            return 0
+        return real(self, view, turn, *more)
+
+    monkeypatch.setattr(placer.Placer, "_job", only_once)
+
+    async def play() -> set[str]:
+        world = World(seed=5)
+        await world.submit(world.job(1, shape="service", lane="web", rank="prod", loaners=False, pieces=6))
+        await asyncio.sleep(25)
+        task = next(t for m in world.machines.values() for t in m.tasks.values())
+        machine = next(m for m in world.machines.values() if m.tasks)
+        machine._end(task, "error")
+        await world.afterwards()
+        return set(world.rules.broken)
+
+    assert run(play()) == {"starved"}
+
+
+def test_started_after_a_confirmed_cancellation(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A holder that the state service refuses goes on starting what it placed before, for as long as it may answer."""
+    real = session.Session.check
+
+    def member(self) -> session.Standing:  # noqa: ANN001
+        found = real(self)
+        return session.Standing.MEMBER if found is session.Standing.HOLDING_ON else found
+
+    monkeypatch.setattr(session.Session, "check", member)
+    monkeypatch.setattr("cloverplank.jobs.book.Book.call_off", lambda self, job, now: None)
+
+    async def play() -> set[str]:
+        world = World(seed=5)
+        spec = world.job(1, shape="service", lane="web", rank="prod", loaners=False, pieces=6)
+        await world.submit(spec)
+        await asyncio.sleep(25)
+        refused = next(label for label, (c, _) in world.controllers.items() if c.blocks)
+        world.state.shut_out = {refused}
+        await world.call_off(spec["id"], next(label for label in world.labels if label != refused))
+        world.state.outage(True)
+        for _ in range(10):
+            await asyncio.sleep(1)
+            for machine in world.machines.values():
+                machine._clear()
+        return set(world.rules.broken)
+
+    assert "started_cancelled" in run(play())
+
+
+def test_begun_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = placer.Placer.run
+
+    async def play() -> set[str]:
+        world = World(seed=5)
+        monkeypatch.setattr(
+            placer.Placer, "run", lambda self, *more: real(self, *more) if world.now() > 1250 else None
+        )
+        await world.submit(world.job(1))
+        await asyncio.sleep(300)
+        return set(world.rules.broken)
+
+    assert "begun_late" in run(play())
+
+
 async def deaf_for_good(world: World) -> None:
     await asyncio.sleep(14)
     world.cloud.down = True
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -377,6 +377,33 @@
     run(play())
 
 
+def test_a_mute_machine_among_many_is_seen() -> None:
+    """Where many report all the time, one of them has within a second: that they have not in this very moment was taken
+    for a sign that it is the holder that hears nobody, and mute machines kept their tasks' places for good."""
+
+    async def play() -> None:
+        world = World(seed=16, capacity=60, scale=12.0)
+        specs = [
+            world.job(n, shape="service", lane="web", rank="prod", loaners=False, pieces=12, vcpus=4.0,
+                      crew="red" if n % 3 else "blue")
+            for n in range(9)
+        ]
+        await asyncio.gather(*(world.submit(s) for s in specs))
+        await asyncio.sleep(30)
+        busy = [m for m in world.machines.values() if m.tasks]
+        assert len(busy) > 16 and running(world) == 108
+        world.mute.update(m.id for m in busy[:3])
+        began = world.now()
+        while world.now() < began + 40 and not all(m.released for m in busy[:3]):
+            await asyncio.sleep(0.2)
+        assert world.now() - began < 1.1 * world.lease_s
+        await asyncio.sleep(20)
+        assert running(world) == 108
+        check(world)
+
+    run(play())
+
+
 def test_machines_are_not_called_mute_when_it_is_the_holder_that_hears_nobody() -> None:
     async def play() -> None:
         world, spec = start_with_service(14)
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -4,6 +4,9 @@
 
 from collections import Counter
 
+OWN_LEASE_S = 4.0  # a controller without contact starts nothing beyond its own lease
+BEGIN_S = 240.0
+
 
 class Rules:
     def __init__(self, world) -> None:
@@ -17,7 +20,8 @@
         self.cancelled_at: dict[str, float] = {}
         self.cancel_asked: set[str] = set()
         self.starts = 0
-        self.starts_after_cancel: list[float] = []  # how long after the confirmation each began
+        self.begun: set[str] = set()
+        self.submitted_at: dict[str, float] = {}
 
     def breach(self, rule: str, note: str) -> None:
         self.broken[rule] += 1
@@ -50,10 +54,19 @@
         used = world.used(spec["crew"])
         if used > world.limits[spec["crew"]] + 1e-6:
             self.breach("quota", f"{spec['crew']} uses {used} with {name}")
-        if job in self.cancelled_at:
-            self.starts_after_cancel.append(world.now() - self.cancelled_at[job])
-            if self.starts_after_cancel[-1] > world.cancel_s:
-                self.breach("ran_cancelled", f"{name} starts")
+        if job in self.cancelled_at and world.now() - self.cancelled_at[job] > world.cancel_s:
+            self.breach("ran_cancelled", f"{name} starts")
+        if job not in self.begun and world.now() - self.submitted_at[job] > BEGIN_S:
+            self.breach("begun_late", f"{name} after {world.now() - self.submitted_at[job]:.0f} s")
+        self.begun.add(job)
+
+    def ordered(self, src: str, orders: list[dict]) -> None:
+        """A controller sends orders. One that is late on its way is no fault of its sender; one that is sent to start
+        what was called off longer ago than the sender may go on without contact is."""
+        for order in orders:
+            at = self.cancelled_at.get(order["piece"].rsplit("/", 1)[0])
+            if order["verb"] == "start" and at is not None and self.world.now() - at > OWN_LEASE_S:
+                self.breach("started_cancelled", f"{order['piece']} by {src}, {self.world.now() - at:.1f} s after")
 
     def off(self, name: str, machine) -> None:
         self.where.get(name, set()).discard(machine.id)
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -215,11 +215,15 @@
                 return None
             request = Request(method, path.partition("?")[0], body or b"")
             response = await (found[0].front if addr.startswith("front:") else found[0].peer)(request)
+            if path == "/v1/report" and response.status == 200:
+                self.rules.ordered(host, msgspec.msgpack.decode(response.body)["orders"])
             return response.status, response.body
         return status, msgspec.msgpack.encode(value)
 
     async def send(self, src, addr, method, path, body=None, timeout=2.0) -> Response:  # noqa: ANN001
         host = self._host(addr)
+        if path == "/orders" and body:
+            self.rules.ordered(src, msgspec.msgpack.decode(body)["orders"])
         chance = self.random.random() if host != src else 1.0
         if path.startswith("/watch"):
             chance = 1.0
@@ -334,6 +338,7 @@
 
     async def submit(self, spec: dict) -> bool:
         self.rules.submitted.add(spec["id"])
+        self.rules.submitted_at.setdefault(spec["id"], self.now())
         for _ in range(40):
             status, _ = await self.tell(spec["id"], "POST", "/api/jobs", spec)
             if status in (200, 201):
