--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -405,18 +405,32 @@
 
 
 def test_machines_are_not_called_mute_when_it_is_the_holder_that_hears_nobody() -> None:
+    """Nobody's reports come, and direct questions are answered: the holder itself may be what they don't reach."""
+
     async def play() -> None:
         world, spec = start_with_service(14)
         await world.submit(spec)
         await asyncio.sleep(30)
-        before = {m.id for m in world.machines.values() if m.alive}
-        world.mute.update(before)
-        await asyncio.sleep(2 * world.lease_s)
-        world.mute.clear()
-        assert len([m for m in before if world.machines[m].released]) <= 2
-        await asyncio.sleep(40)
-        assert running(world) == 6
-        check(world)
+        controller, _ = heard(world)
+        block = next(iter(controller.blocks.values()))
+        now = block.clock.mono()
+        for number in range(30):
+            one = block.machine(f"m-x{number}")
+            one.health, one.heard_at, one.reported_at = Health.QUIET, now, Mono(now - world.lease_s)
+            one.since = one.reported_at
+        block.since = Mono(now - 100.0)
+
+        def lost() -> int:
+            block._presence._checked_at = Mono(-1e9)
+            for number in range(30):
+                block.machine(f"m-x{number}").probing = True  # no questions in this test
+            block.check_machines()
+            return sum(m.lost_since is not None for m in block.machines.values())
+
+        block.last_report_at = Mono(now - 5.0)
+        assert lost() == 0
+        block.last_report_at = now
+        assert lost() > 10
 
     run(play())
 
