--- /dev/null
+++ b/tests/production/record.py
@@ -0,0 +1,70 @@
+"""Writes `recorded.json`: every record and peer message of the version it is run on, as bytes.
+
+Run once, on the commit that `deploy/service.toml` names as production:
+
+    python3 -m tests.production.record
+
+The recording is test data from then on; it is not made again when the code changes.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+RECORDED = Path(__file__).with_name("recorded.json")
+
+SUBMISSION = {
+    "id": "run-000412", "lane": "train", "crew": "vision", "shape": "batch", "rank": "urgent", "pieces": 16,
+    "vcpus": 8.0, "gpus": 1.0, "ram_gb": 64.0, "bundle": "img-07", "image_gb": 6.2, "together": True, "apart": False,
+    "loaners": True, "guess_s": 240.0, "marker_s": 30.0, "stow_s": 4.0,
+}
+
+
+def examples() -> dict[str, tuple[str, Any]]:
+    """Name of the example -> name of its type, value."""
+    from cloverplank.jobs.records import Eviction, FinalRecord, JobRecord, Phase, Run
+    from cloverplank.state.keys import BlockRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
+    from cloverplank.wire.cloud import MachineType, MachineTypes
+    from cloverplank.wire.codec import encode
+    from cloverplank.wire.peers import Hint, MachineHint
+    from cloverplank.wire.users import decode_submission
+
+    short = decode_submission(encode(SUBMISSION))
+    long = decode_submission(encode(SUBMISSION | {"builds": ["g8"], "yard": "a", "due_s": 900.0}))
+    runs = [Run("m-000231", "a", 3, [0, 3, 6, 6]), Run("m-000232", "a", 4, [7, 9])]
+    running = JobRecord(
+        long, 1_700_000_000_000, Phase.OPEN, 5, [4, 5], runs, {"a": 9}, [Eviction("m-000200", 2, 1_700_000_100_000, 3)]
+    )
+    machine = MachineHint("m-000231", "10.1.0.232:9000", "g8", "a", True, "up", 0.5, 12.0, ["img-07"])
+    return {
+        "job, new": ("JobRecord", JobRecord(short, 1_700_000_000_000)),
+        "job, running": ("JobRecord", running),
+        "job, cancelled": ("JobRecord", JobRecord(short, 1_700_000_000_000, Phase.CANCELLED, 5, [], runs)),
+        "final, done": ("FinalRecord", FinalRecord(Phase.DONE, 16)),
+        "final, cancelled": ("FinalRecord", FinalRecord(Phase.CANCELLED, 16)),
+        "node": ("NodeRecord", NodeRecord("a", 7)),
+        "leader": ("LeaderRecord", LeaderRecord("plank-1", 7)),
+        "block": ("BlockRecord", BlockRecord("a", "plank-1", 7)),
+        "hire, asked": ("HireRecord", HireRecord("g8", "a", True, 2, 1_700_000_000_000)),
+        "hire, answered": ("HireRecord", HireRecord("g8", "a", True, 2, 1_700_000_000_000, ["m-000231", "m-000232"])),
+        "return, empty": ("ReturnRecord", ReturnRecord(1_700_000_000_000)),
+        "return": ("ReturnRecord", ReturnRecord(1_700_000_000_000, {"m-000231": "idle"}, ["m-000232"])),
+        "types": ("MachineTypes", MachineTypes([
+            MachineType("c1", 16.0, 64.0, 0.7), MachineType("g8", 96.0, 768.0, 12.0, 8.0, 200.0, 2.0, 4.5, 45.0, ["a"]),
+        ])),
+        "hint, short": ("Hint", Hint("plank-1", "a", True, {"a": 3})),
+        "hint": ("Hint", Hint("plank-1", "a", False, {"a": 3}, [machine], {"a": 41}, True, 3.5, ["run-000412"])),
+    }
+
+
+def main() -> None:
+    from cloverplank.wire.codec import encode
+
+    rows = {name: {"type": kind, "bytes": encode(value).hex()} for name, (kind, value) in examples().items()}
+    RECORDED.write_text(json.dumps(rows, indent=1) + "\n", "utf-8")
+
+
+if __name__ == "__main__":
+    main()
