--- /dev/null
+++ b/src/cloverplank/api/submission.py
@@ -0,0 +1,180 @@
+"""Submissions: what is refused, what becomes of a job that names others, and the commit that accepts it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from cloverplank.jobs.admission import refusal
+from cloverplank.jobs.dependencies import UpstreamState, Verdict, decide
+from cloverplank.jobs.limits import Limit
+from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
+from cloverplank.kinds import Clock, JobId
+from cloverplank.net.messages import Response, answer
+from cloverplank.state import keys
+from cloverplank.state.client import StateClient, Unknown
+from cloverplank.state.fresh import Found, Fresh
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Urgency
+from cloverplank.state.transitions import unknown_so_far
+from cloverplank.wire.cloud import MachineType
+from cloverplank.wire.codec import MAX_BODY, BadMessage, decode, json_size
+from cloverplank.wire.statesvc import Commit, Put
+from cloverplank.wire.users import ErrorAnswer, JobAnswer, JobSpec, Submission, decode_submission, valid_job_id
+
+from .answers import busy, job_answer
+
+log = logging.getLogger("cloverplank.users")
+
+LONGEST_WAIT_S = 1.5  # a submission that would wait longer for its commit is told when to come back
+COMMIT_S = 3.5  # users wait five seconds for an answer
+NEW_RECORD_SHARE = 0.5  # of a value that a new job's record may take: it grows as the job is placed
+MAX_LOOK_UPS = 20  # jobs that one submission names and that have to be read
+MAX_WAITING_JOBS = 20_000  # kept in memory by every controller
+
+
+class _OnlyId(Struct):
+    id: str
+
+
+class Refusal(Exception):
+    """The submission can't be accepted, with the status and the reason that its user is told."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Submissions:
+    """Takes the users' submissions."""
+
+    def __init__(
+        self, clock: Clock, client: StateClient, mirror: Mirror, queue: CommitQueue, fresh: Fresh,
+        limits: dict[str, Limit], types: Callable[[], dict[str, MachineType]], zones: list[str],
+        value_bytes: int,
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._mirror = mirror
+        self._queue = queue
+        self._fresh = fresh
+        self._limits = limits
+        self._types = types
+        self._zones = zones
+        self._value_bytes = value_bytes
+
+    async def submit(self, body: bytes) -> Response:
+        """The answer to a submission. Raises Refused, Unknown, Full, Lost or TimeoutError where it can't be told."""
+        began = self._clock.mono()
+        try:
+            submission = decode_submission(body)
+        except BadMessage as err:
+            known = await self._known_anyway(body)
+            return known or answer(400, ErrorAnswer(str(err)[:200]))
+        job = JobId(submission.spec.id)
+        if self._mirror.knows(job):
+            return answer(200, job_answer(job, await self._existing(job)))
+        if self._client.down() or not self._types():
+            return busy()
+        try:
+            commit, state = await self._prepare(submission, len(body))
+        except Refusal as why:
+            found = await self._fresh.job(job)
+            if found is not None:
+                return answer(200, job_answer(job, found))
+            return answer(why.status, ErrorAnswer(why.reason))
+        wait = self._queue.wait_estimate()
+        if wait > LONGEST_WAIT_S:
+            return busy(wait)
+        async with asyncio.timeout(COMMIT_S):
+            result = await self._queue.commit(commit, Urgency.SUBMIT, once=True)
+        if result.failed:
+            return answer(200, job_answer(job, await self._existing(job)))
+        self._log_accepted(submission, state, began)
+        return answer(201, JobAnswer(job, state))
+
+    def _log_accepted(self, submission: Submission, state: str, began: float) -> None:
+        spec = submission.spec
+        needs = f", needs {' '.join(submission.upstream)}" if submission.upstream else ""
+        log.info("accepted %s (%s): %s %s of %s, %d tasks%s, in %.0f ms", spec.id, state, spec.rank, spec.job_class,
+                 spec.team, spec.tasks, needs, 1000 * (self._clock.mono() - began))
+
+    async def _prepare(self, submission: Submission, body_bytes: int) -> tuple[Commit, str]:
+        """The commit that accepts the job, and the state that its user is told. Raises Refusal."""
+        spec = submission.spec
+        why = refusal(spec, self._limits, self._types().values(), self._zones)
+        if why:
+            raise Refusal(422, why)
+        conditions = unknown_so_far(JobId(spec.id))
+        verdict, unfinished = await self._look_upstream(submission)
+        if verdict is Verdict.CANCEL:
+            self._check_size(spec, [], body_bytes)
+            put = Put(keys.final(spec.id), FinalRecord(Phase.CANCELLED, spec.tasks))
+            return Commit(conditions, [put]), Phase.CANCELLED.value
+        self._check_size(spec, unfinished, body_bytes)
+        if unfinished:
+            if len(self._mirror.waiting.jobs) >= MAX_WAITING_JOBS:
+                raise Unknown("too many jobs wait for others")
+            record = WaitingRecord(spec, self._clock.wall(), list(unfinished))
+            return Commit(conditions, [Put(keys.waiting(spec.id), record)]), "pending"
+        return Commit(conditions, [Put(keys.job(spec.id), JobRecord(spec, self._clock.wall()))]), "pending"
+
+    def _check_size(self, spec: JobSpec, upstream: list[JobId], body_bytes: int) -> None:
+        """Raises Refusal where the state service would not take the job's records."""
+        if json_size(JobRecord(spec, self._clock.wall())) > self._value_bytes * NEW_RECORD_SHARE:
+            raise Refusal(400, "description too large")
+        waiting = WaitingRecord(spec, self._clock.wall(), list(upstream))
+        if json_size(waiting) > self._value_bytes or body_bytes > MAX_BODY:
+            raise Refusal(400, "description too large: it needs too many unfinished jobs")
+
+    async def _look_upstream(self, submission: Submission) -> tuple[Verdict, list[JobId]]:
+        """What the jobs that it needs make of it, and those that are not finished. Raises Refusal."""
+        upstream = [JobId(name) for name in dict.fromkeys(submission.upstream)]
+        if submission.spec.id in upstream:
+            raise Refusal(422, "waits_on: the job itself")
+        await self._read_unknown(upstream)
+        states = {job: self._mirror.upstream_state(job) for job in upstream}
+        if UpstreamState.NOT_IN_MEMORY in states.values():
+            raise Unknown("not all jobs that it needs are read yet")
+        for job in upstream:
+            self._check_no_service(job)
+        unfinished = [job for job, state in states.items() if state is UpstreamState.UNFINISHED]
+        return decide(states.values()), unfinished
+
+    async def _read_unknown(self, upstream: list[JobId]) -> None:
+        """Reads jobs that are not in memory; what is found stays there, so a repeated submission gets further.
+
+        No more than a few at a time: one submission must not take the requests that everybody shares.
+        """
+        unknown = [job for job in upstream if self._mirror.upstream_state(job) is UpstreamState.NOT_IN_MEMORY]
+        unknown = unknown[:MAX_LOOK_UPS]
+        found = await asyncio.gather(*(self._fresh.job(job) for job in unknown))
+        for job, state in zip(unknown, found, strict=True):
+            if state is None:
+                raise Refusal(422, f"waits_on: {job} was never accepted")
+
+    def _check_no_service(self, job: JobId) -> None:
+        view = self._mirror.book.get(job)
+        if view is not None and view.record.spec.service:
+            raise Refusal(422, f"waits_on: {job} is a service and never done")
+
+    async def _existing(self, job: JobId) -> Found:
+        found = await self._fresh.job(job)
+        if found is None:
+            raise Unknown("a job that was there is not")
+        return found
+
+    async def _known_anyway(self, body: bytes) -> Response | None:
+        """A job that was accepted stays so, whatever a repeated submission says besides its id."""
+        try:
+            job = decode(body, _OnlyId).id
+        except BadMessage:
+            return None
+        if not valid_job_id(job):
+            return None
+        found = await self._fresh.job(JobId(job))
+        return None if found is None else answer(200, job_answer(JobId(job), found))
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -10,8 +10,10 @@
 
 import msgspec
 
+from cloverplank.api.submission import Submissions
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.fleet.cloud import Cloud, CloudDown
+from cloverplank.fleet.dependency_sweep import DependencySweep
 from cloverplank.fleet.errors import Deposed, Unanswered
 from cloverplank.fleet.holder import Block, Limits
 from cloverplank.fleet.leader import Leader
@@ -22,6 +24,7 @@
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit
 from cloverplank.jobs.placing import Targets, Turn, in_order
+from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Phase
 from cloverplank.kinds import Baton, Clock, JobId, Mono, NodeId, Zone
 from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
@@ -43,6 +46,7 @@
 
 log = logging.getLogger("cloverplank.controller")
 
+BYTES_A_KB = 1024
 ROUND_S = 0.05  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
 ROUND_PART = 0.05  # of the processor that rounds may take: reports and leases come first
@@ -68,6 +72,7 @@
         self, platform: Platform, operator: Operator, clock: Clock, http: Http, chance: random.Random
     ) -> None:
         facts = platform.facts
+        state_limits = facts.state.lowest()
         self.platform = platform
         self.operator = operator
         self._clock = clock
@@ -78,12 +83,16 @@
         count = 1 + len(platform.peers)
         self.client = StateClient(
             http, platform.outside.state, clock,
-            Budget(facts.state.rps / count, clock), Budget(facts.state.write_rps / count, clock, least=4.0),
+            Budget(state_limits.rps / count, clock), Budget(state_limits.write_rps / count, clock, least=4.0),
         )
         self.book = Book()
-        self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * facts.state.rps)))
-        self.queue = CommitQueue(self.client, self.mirror, clock)
-        self.fresh = Fresh(self.client, self.mirror, clock, facts.state.txn_ops)
+        self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * state_limits.rps)))
+        space = RecordSpace(
+            int(facts.state.value_kb * BYTES_A_KB), int(state_limits.value_kb * BYTES_A_KB),
+            self.mirror.compact_allowed,
+        )
+        self.queue = CommitQueue(self.client, self.mirror, clock, space)
+        self.fresh = Fresh(self.client, self.mirror, clock, state_limits.txn_ops)
         workers = facts.workers
         hold_on_s = contact_bound(
             workers.cancel_s, workers.lease_s, operator.hold_on_margin_s, operator.controller_lease_s
@@ -98,7 +107,7 @@
             report_s=workers.report_s, lease_s=workers.lease_s, hold_on_s=hold_on_s,
             taint_after_s=operator.taint_after_s or max(3 * workers.report_s, workers.lease_s),
             quiet_after_s=operator.no_new_after_reports * workers.report_s,
-            value_bytes=int(facts.state.value_kb * 1024), write_rps=facts.state.write_rps,
+            space=space, write_rps=state_limits.write_rps,
             eviction_limit_ms=int(operator.eviction_limit_s * 1000),
             faulty_errors=int(operator.faulty_errors),
             release_after_s=operator.release_silent_reports * workers.report_s,
@@ -121,7 +130,7 @@
         for o in facts.objectives:
             if o.kind == "finished" and o.within_s > 0:
                 within.setdefault(o.job_class, []).append(o.within_s)
-        self.targets = Targets(within, operator.patience)
+        self.targets = Targets(within, operator.patience, self.mirror.claims.of)
         self._types: dict[str, MachineType] = {}
         self._heard: dict[str, dict[str, Mono]] = {z: {} for z in self.zones}
         self._kicked = asyncio.Event()
@@ -134,11 +143,13 @@
             platform, operator, clock, self.session, self.mirror, self.queue, self.roster, self.cloud,
             self.headroom, lambda: self._types, self.peers, self.targets, self.returning,
         )
-        self.users = Users(
+        self.dependency_sweep = DependencySweep(clock, self.session, self.mirror, self.queue, self.fresh)
+        submissions = Submissions(
             clock, self.client, self.mirror, self.queue, self.fresh,
             {t.name: Limit(t.cpus_max, t.gpus_max) for t in facts.teams},
-            lambda: self._types, list(facts.zones), self.limits.value_bytes,
+            lambda: self._types, list(facts.zones), space.lowest_value_bytes,
         )
+        self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, workers.cancel_s)
         self.book.changed = self._job_changed
         self.book.fresh_at = lambda: self.mirror.fresh_at
         self.users.cancelled = self._cancelled
@@ -408,7 +419,7 @@
         turns = in_order(
             (v.staged for v in self.book.jobs.values()
              if v.staged.phase is Phase.OPEN and not self.book.called_off(v.id)),
-            self.guarantees, self.most_cpus, now,
+            self.guarantees, self.most_cpus, now, self.mirror.claims.of,
         )
         for turn in turns:
             turn.pressing = turn.guaranteed or turn.overdue > 0 or self.targets.pressing(turn.record, now)
@@ -473,6 +484,7 @@
                 if self.mirror.loaded:
                     await self.session.seek_leadership()
                     await self.leader.grant_blocks()
+                    await self.leader.announce_format()
                     for block in list(self.blocks.values()):
                         await self._tend(block)
                 self._shares()
@@ -530,7 +542,7 @@
             if holder in weights:
                 weights[holder] += HOLDER_WEIGHT / len(self.zones)
                 watching[holder] += WATCH_WEIGHT
-        limits = self.platform.facts.state
+        limits = self.platform.facts.state.lowest()
         self.client.requests.rate = limits.rps * weights[self.me] / sum(weights.values())
         # Changes by need as everybody tells it, and a part for each in any case.
         now = self._clock.mono()
@@ -599,7 +611,7 @@
     async def run(self) -> None:
         await asyncio.gather(
             self.mirror.run(), self.session.run(), self.queue.run(), self._rounds(), self._govern(),
-            self._learn_types(), self._hints(), self.leader.run(),
+            self._learn_types(), self._hints(), self.leader.run(), self.dependency_sweep.run(),
         )
 
 
--- /dev/null
+++ b/src/cloverplank/fleet/dependency_sweep.py
@@ -0,0 +1,133 @@
+"""The leader's work on job chains: releases jobs whose upstream jobs are done, cancels those that need a cancelled one.
+
+It is level-triggered: each decision is made anew from what is committed, so it comes out the same after any crash,
+takeover or outage, whatever news was missed meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+from cloverplank.jobs.dependencies import UpstreamState, Verdict, decide
+from cloverplank.jobs.waiting import WaitingJob
+from cloverplank.kinds import Clock, JobId, Mono, Stamp
+from cloverplank.state import transitions
+from cloverplank.state.client import Lost, Refused, Unknown
+from cloverplank.state.fresh import Fresh
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Full, Urgency
+from cloverplank.state.session import Session
+from cloverplank.wire.statesvc import Commit
+
+log = logging.getLogger("cloverplank.chains")
+
+IDLE_S = 1.0  # between two looks without news
+FULL_PASS_S = 5.0  # between two looks at all waiting jobs
+RETRY_S = 1.0  # after a commit or a read that failed
+MAX_AT_ONCE = 64  # commits and reads on their way; the others keep their turn
+
+
+class DependencySweep:
+    """Lives as long as the process; acts only while this controller leads."""
+
+    def __init__(self, clock: Clock, session: Session, mirror: Mirror, queue: CommitQueue, fresh: Fresh) -> None:
+        self._clock = clock
+        self._session = session
+        self._mirror = mirror
+        self._waiting = mirror.waiting
+        self._queue = queue
+        self._fresh = fresh
+        self._news = asyncio.Event()
+        self._led: Stamp | None = None
+        self._full_pass_at = Mono(-1e9)
+        self._busy: set[JobId] = set()  # whose commit or read is on its way
+        self.tasks: set[asyncio.Task] = set()
+        self._waiting.changed = self._news.set
+
+    async def run(self) -> None:
+        """Never returns."""
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_S):
+                    await self._news.wait()
+            except TimeoutError:
+                pass
+            self._news.clear()
+            try:
+                self._sweep()
+            except Exception:
+                log.exception("sweep of waiting jobs failed")
+            await asyncio.sleep(0.01)  # gathers what comes at the same moment
+
+    def _sweep(self) -> None:
+        stamp = self._session.leads()
+        now = self._clock.mono()
+        if stamp is not None and (stamp != self._led or now - self._full_pass_at >= FULL_PASS_S):
+            self._waiting.look_at_all()
+            self._full_pass_at = now
+        self._led = stamp
+        if stamp is None:
+            return  # the news are kept for the day on which this controller leads
+        for job in self._waiting.take_news():
+            waiting = self._waiting.get(job)
+            if waiting is None or job in self._busy:
+                continue
+            if len(self._busy) >= MAX_AT_ONCE:
+                self._waiting.look_again(job)
+            else:
+                self._decide(waiting)
+
+    def _decide(self, job: WaitingJob) -> None:
+        states = {upstream: self._mirror.upstream_state(upstream) for upstream in job.upstream}
+        verdict = decide(states.values())
+        if verdict is Verdict.RELEASE:
+            commit = transitions.release(job, self._clock.wall())
+            self._spawn(job, self._commit(job, commit, Urgency.SUBMIT, "released"))
+        elif verdict is Verdict.CANCEL:
+            cancelled = [name for name, state in states.items() if state is UpstreamState.CANCELLED]
+            outcome = f"cancelled with {cancelled[0]}"
+            self._spawn(job, self._commit(job, transitions.cancel(job), Urgency.CANCEL, outcome))
+        elif verdict is Verdict.LOOK_UP:
+            missing = [name for name, state in states.items() if state is UpstreamState.NOT_IN_MEMORY]
+            self._spawn(job, self._look_up(missing))
+
+    def _spawn(self, job: WaitingJob, work: Coroutine[Any, Any, bool]) -> None:
+        self._busy.add(job.id)
+        task = asyncio.ensure_future(self._finish(job.id, work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _finish(self, job: JobId, work: Coroutine[Any, Any, bool]) -> None:
+        """Looks at the job again once the work is over, a little later if it failed."""
+        try:
+            if not await work:
+                await asyncio.sleep(RETRY_S)
+        finally:
+            self._busy.discard(job)
+            self._waiting.look_again(job)
+
+    async def _commit(self, job: WaitingJob, commit: Commit, urgency: Urgency, outcome: str) -> bool:
+        try:
+            answer = await self._queue.commit(commit, urgency)
+        except (Lost, Full, Refused, Unknown) as err:
+            log.info("job %s is not %s: %s", job.id, outcome, err)
+            return False
+        if answer.failed:
+            return False  # somebody else has moved it; the watch will tell
+        log.info("job %s: %s", job.id, outcome)
+        return True
+
+    async def _look_up(self, upstream: list[JobId]) -> bool:
+        """Reads final records that are no longer in memory; the mirror keeps what is found."""
+        try:
+            for job in upstream:
+                if await self._fresh.job(job) is None:
+                    log.error("job %s is needed by others and was never accepted", job)
+                    return False
+        except (Refused, Unknown) as err:
+            log.debug("upstream jobs can't be read: %s", err)
+            return False
+        return True
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -13,6 +13,7 @@
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import TINY, Rooms, Turn
 from cloverplank.jobs.ranges import numbers
+from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
 from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
@@ -50,7 +51,7 @@
     hold_on_s: float
     taint_after_s: float
     quiet_after_s: float
-    value_bytes: int
+    space: RecordSpace
     write_rps: float
     eviction_limit_ms: int
     faulty_errors: int
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -12,14 +12,14 @@
 from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit, Shortage
-from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, RANKS, TINY, Room, Rooms, Targets, Turn
+from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, TINY, Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import Phase
 from cloverplank.kinds import Clock, MachineId, Mono, NodeId, Stamp, Zone
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform
 from cloverplank.state import keys
 from cloverplank.state.client import Lost, Refused, Unknown
-from cloverplank.state.keys import BlockRecord, HireRecord, NodeRecord, ReturnRecord
+from cloverplank.state.keys import BlockRecord, FormatRecord, HireRecord, NodeRecord, ReturnRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session
@@ -82,6 +82,26 @@
 
     # -- grants
 
+    async def announce_format(self) -> None:
+        """Commits the format version that all controllers read, once every one of them shows it."""
+        stamp = self._session.leads()
+        if stamp is None or self._mirror.compact_allowed():
+            return
+        nodes = self._mirror.under(keys.NODES, NodeRecord)
+        able = [record for record, _ in nodes.values() if record.format >= keys.FORMAT_VERSION]
+        if len(able) < 1 + len(self._platform.peers):
+            return
+        key = keys.FORMAT
+        conditions = [Condition(keys.LEADER, stamp), Condition(key, self._mirror.stamp(key))]
+        put = Put(key, FormatRecord(keys.FORMAT_VERSION))
+        try:
+            answer = await self._queue.commit(Commit(conditions, [put]), Urgency.LEASE, once=True)
+        except (Lost, Full, Refused, Unknown) as err:
+            log.debug("format version: %s", err)
+            return
+        if not answer.failed:
+            log.info("all %d controllers read format version %d", len(able), keys.FORMAT_VERSION)
+
     async def grant_blocks(self) -> None:
         stamp = self._session.leads()
         if stamp is None:
@@ -246,7 +266,7 @@
                 stuck = now - record.at > NO_TARGET_MS and sum(capacity[zone]) < max(1.0, spec.cpus)
                 allowed[id(shortage)] = int(stuck)
             else:
-                before = queued[zone] + sum(w for r, w in running[zone].items() if r <= RANKS[spec.rank])
+                before = queued[zone] + sum(w for r, w in running[zone].items() if r <= shortage.turn.rank)
                 soon = capacity[zone][0] * left + capacity[zone][1] * (left - self._boot_s())
                 done = int(max(0.0, soon * self._operator.trusted_capacity - before) / work)
                 turns = max(1.0, (left - self._boot_s()) / length)
@@ -275,7 +295,7 @@
                 if spec.service:
                     capacity[known.zone][boots] -= cpus
                 else:
-                    rank = RANKS[spec.rank]
+                    rank = self._mirror.claims.of(view.staged).rank
                     work = running[known.zone].get(rank, 0.0)
                     running[known.zone][rank] = work + cpus * spec.estimate_s * 0.5
         return capacity, running
@@ -341,7 +361,7 @@
 
     async def _write_all(self, changes: list[Put | Delete]) -> bool:
         """In as many commits as it takes."""
-        size = max(1, self._platform.facts.state.txn_ops)
+        size = max(1, self._platform.facts.state.lowest().txn_ops)
         for start in range(0, len(changes), size):
             if not await self._write(changes[start:start + size]):
                 return False
@@ -492,8 +512,9 @@
                 left -= gone
                 draining = {name: why for name, why in batch.draining.items() if name not in gone}
                 changes.append(Put(key, ReturnRecord(now, draining, sorted([*batch.gone, *gone]))))
-        if left:
-            changes.append(Put(self._return_key(), ReturnRecord(now, {}, sorted(left))))
+        gone_names = sorted(left)
+        for at in range(0, len(gone_names), MAX_RETURNS):
+            changes.append(Put(self._return_key(), ReturnRecord(now, {}, gone_names[at:at + MAX_RETURNS])))
         written = set(self._unrecorded)
         if await self._write_all(changes):
             self._unrecorded -= written
--- a/src/cloverplank/fleet/placer.py
+++ b/src/cloverplank/fleet/placer.py
@@ -7,13 +7,12 @@
 
 from cloverplank.jobs import records
 from cloverplank.jobs.book import JobView
+from cloverplank.jobs.dependencies import RANKS
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import RANKS, Rooms, Turn, occupy
+from cloverplank.jobs.placing import Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
-from cloverplank.jobs.records import JobRecord
 from cloverplank.kinds import MachineId, Mono, TaskRef
 from cloverplank.state.queue import Urgency
-from cloverplank.wire.codec import json_size
 
 from .preempting import Preemption
 
@@ -22,8 +21,6 @@
 
 log = logging.getLogger("cloverplank.holder")
 
-SAFE_RUNS = 40  # fit in any value
-BYTES_A_RUN = 64  # of a record, with what its end leaves in the ranges of done tasks
 # Between two looks for room for arrays that aren't urgent, by the machine: among hundreds of them a task ends in
 # every moment, and a commit for each single one kept the urgent waiting for theirs.
 ARRAYS_S, LONGEST_ARRAYS_S = 0.002, 0.5
@@ -49,7 +46,7 @@
             view = block.book.get(turn.record.id)
             if view is None or not view.staged.missing_count():
                 continue
-            if not arrays_too and not view.record.spec.service and RANKS[view.record.spec.rank] > RANKS["urgent"]:
+            if not arrays_too and not view.record.spec.service and turn.rank > RANKS["urgent"]:
                 continue
             turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
             if turn.record.allot.get(block.zone, 0) > turn.record.placed(block.zone):
@@ -84,7 +81,7 @@
         if spec.gang and (record.runs or most < record.missing_count()):
             self._gather(view)  # what is left of it stops, then it starts again whole
             return 0
-        most_runs = self._runs_left(record)
+        most_runs = block.limits.space.runs_left(record)
         if most_runs <= 0:
             return 0  # the record is as large as it may get; it goes on as tasks end
         usable, others = (rooms, spare) if ready else (spare, rooms)
@@ -103,12 +100,6 @@
             block.change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
         return most - sum(p.count for p in placements)
 
-    def _runs_left(self, record: JobRecord) -> int:
-        """On how many more machines tasks may be placed before the record is as large as a value may be."""
-        if len(record.runs) + record.missing_count() <= SAFE_RUNS:
-            return SAFE_RUNS
-        return int((self._block.limits.value_bytes * 0.85 - json_size(record)) / BYTES_A_RUN)
-
     def _gather(self, view: JobView) -> None:
         """A gang that lost a member: its other members save and stop."""
         block = self._block
--- a/src/cloverplank/fleet/preempting.py
+++ b/src/cloverplank/fleet/preempting.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from cloverplank.jobs.placing import RANKS, Room, Turn, protected, room_for, suits
+from cloverplank.jobs.placing import Room, Turn, protected, room_for, suits
 from cloverplank.jobs.records import JobRecord, Phase
 from cloverplank.kinds import Clock, JobId, MachineId, TaskRef
 from cloverplank.wire.users import JobSpec
@@ -51,6 +51,7 @@
     machine: Machine
     record: JobRecord
     guaranteed: bool
+    rank: int
 
 
 class Preemption:
@@ -59,15 +60,15 @@
     def __init__(self, block: Block, turns: list[Turn]) -> None:
         self._block = block
         running = [t for t in turns if not t.record.spec.service and t.record.placed(block.zone)]
-        self._lowest = max((RANKS[t.record.spec.rank] for t in running), default=-1)
+        self._lowest = max((t.rank for t in running), default=-1)
         self._beyond = {t.record.spec.team for t in running if not t.guaranteed}
-        self._guaranteed = {turn.record.id: turn.guaranteed for turn in turns}
+        self._turns = {turn.record.id: turn for turn in turns}
         self._victims: dict[MachineId, list[Victim]] = {}
 
     def _may(self, turn: Turn) -> bool:
         """Under a backlog most have nobody to take room from: no look at hundreds of machines for them."""
         spec = turn.record.spec
-        return self._lowest > RANKS[spec.rank] or (turn.guaranteed and bool(self._beyond - {spec.team}))
+        return self._lowest > turn.rank or (turn.guaranteed and bool(self._beyond - {spec.team}))
 
     def run(self, waiting: list[tuple[Turn, int]], at_once: Callable[[JobSpec], bool]) -> None:
         """`at_once`: jobs of classes that should start sooner than room comes by itself."""
@@ -125,8 +126,11 @@
                 continue
             if protected(record, ref.index, now):
                 continue
-            found.append(Victim(ref, machine, record, self._guaranteed.get(JobId(ref.job), False)))
-        found.sort(key=lambda v: (v.guaranteed, -RANKS[v.record.spec.rank], -v.record.at, v.ref))
+            turn = self._turns.get(JobId(ref.job))
+            if turn is None:
+                turn = Turn(record, guaranteed=False)
+            found.append(Victim(ref, machine, record, turn.guaranteed, turn.rank))
+        found.sort(key=lambda v: (v.guaranteed, -v.rank, -v.record.at, v.ref))
         return found
 
     def _make_room(self, turn: Turn, tasks: int, room: Room, coming: list[float], victims: list[Victim]) -> int:
@@ -144,7 +148,7 @@
             if best >= tasks:
                 break
             other = victim.record.spec
-            lower = RANKS[other.rank] > RANKS[spec.rank]
+            lower = victim.rank > turn.rank
             beyond = turn.guaranteed and not victim.guaranteed and other.team != spec.team
             if victim.ref in self._block.stops or not (lower or beyond):
                 continue
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/book.py
@@ -42,6 +42,8 @@
     pending: list[Pending] = field(default_factory=list)
     in_flight: bool = False
     stale: bool = False  # a commit failed on this key: read again before the next one
+    refusals: int = 0  # commits in a row that the state service called malformed or too large
+    hold_until: Mono = Mono(0.0)  # no commit is sent before: a refused one must not be repeated at once
 
     def planned(self, *plans: str) -> bool:
         return any(p.plan in plans for p in self.pending)
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -10,11 +10,10 @@
 from cloverplank.kinds import MachineId, WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
+from .dependencies import GUESS, RANKS, Claim, own_claim
 from .records import JobRecord, Placement, zone_cap
 
-RANKS = {"prod": 0, "urgent": 1, "standard": 2, "idle": 3}
 TINY = 1e-6
-GUESS = 1.3  # owners' estimates are often too low by a third
 OVERDUE_MS, FAR_OVERDUE_MS = 100_000, 160_000
 NO_TARGET_MS = 60_000  # what has no target waits this long for cheap room
 
@@ -189,10 +188,16 @@
     finish: float = 0.0
     pressing: bool = True  # False: it can wait for cheap room, and wakes no idle ordinary machine
     overdue: int = 0  # waits without one task started: 1, as if guaranteed; 2, before all others
+    claim: Claim | None = None  # where other jobs that need it may make it more urgent than its own rank says
+
+    @property
+    def rank(self) -> int:
+        """The rank that it is served with; the lowest number goes first."""
+        return RANKS[self.record.spec.rank] if self.claim is None else self.claim.rank
 
     def key(self) -> tuple:
         return (
-            self.overdue < 2, not (self.guaranteed or self.overdue), RANKS[self.record.spec.rank],
+            self.overdue < 2, not (self.guaranteed or self.overdue), self.rank,
             not self.overdue, self.finish, self.record.id,
         )
 
@@ -230,10 +235,12 @@
 
     finish_within: dict[str, list[float]]
     patience: float  # part of its time that a job may wait for cheap room
+    claim_of: Callable[[JobRecord], Claim] = own_claim
 
     def all(self, record: JobRecord) -> list[float]:
-        """Seconds from submission; a job that misses the first still has the next."""
-        due = [] if record.spec.deadline_s is None else [record.spec.deadline_s]
+        """Seconds from the time at which the job could run; one that misses the first still has the next."""
+        due_at = self.claim_of(record).due_at
+        due = [] if due_at is None else [(due_at - record.at) / 1000]
         return sorted([*due, *self.finish_within.get(record.spec.job_class, ())])
 
     def lefts(self, record: JobRecord, now: WallMs) -> list[float]:
@@ -243,7 +250,7 @@
 
     def pressing(self, record: JobRecord, now: WallMs) -> bool:
         spec = record.spec
-        if not spec.spot or spec.rank in ("prod", "urgent"):
+        if not spec.spot or self.claim_of(record).rank <= RANKS["urgent"]:
             return True
         targets = self.all(record)
         if not targets:
@@ -253,14 +260,15 @@
 
 def in_order(
     records: Iterable[JobRecord], guarantees: dict[str, tuple[float, float]], most: dict[str, float] | None = None,
-    now: WallMs | None = None,
+    now: WallMs | None = None, claim_of: Callable[[JobRecord], Claim] = own_claim,
 ) -> list[Turn]:
     """Guarantee, then rank, then age. A job is guaranteed while it fits its team's guarantee
     together with the team's jobs before it. `most`: cpus that each team may use."""
     most = most or {}
     turns: list[Turn] = []
     used: dict[str, tuple[float, float]] = {}
-    for record in sorted(records, key=lambda r: (RANKS[r.spec.rank], r.at, r.id)):
+    claims = [(claim_of(record), record) for record in records]
+    for claim, record in sorted(claims, key=lambda c: (c[0].rank, c[1].at, c[1].id)):
         spec = record.spec
         open_tasks = record.placed() + record.missing_count()
         have = used.get(spec.team, (0.0, 0.0))
@@ -268,7 +276,7 @@
         guarantee = guarantees.get(spec.team, (0.0, 0.0))
         inside = have[0] <= guarantee[0] + TINY and have[1] <= guarantee[1] + TINY
         finish = earliest_finish(record, most[spec.team]) if spec.team in most else record.at
-        turns.append(Turn(record, inside, finish=finish, overdue=overdue(record, now) if now else 0))
+        turns.append(Turn(record, inside, finish=finish, overdue=overdue(record, now) if now else 0, claim=claim))
     turns.sort(key=Turn.key)
     return turns
 
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -49,13 +49,19 @@
     """Frozen, so what is counted from it is counted once: rounds ask for the same counts of every job."""
 
     spec: JobSpec
-    at: int  # time of day of the submission, ms
+    at: int  # time of day, ms, from which the job could run: of its submission, or of its release
     phase: Phase = Phase.OPEN
     next: int = 1  # the attempt number that the next placement takes
     done: Ranges = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     allot: dict[str, int] = field(default_factory=dict)  # zone -> tasks that may be on machines there
     evictions: list[Eviction] = field(default_factory=list, name="ev")
+    submitted: int = 0  # time of day, ms, where `at` is a later release from waiting for other jobs
+
+    @cached_property
+    def submitted_at(self) -> int:
+        """Time of day from which the deadline counts; all other times count from `at`."""
+        return self.submitted or self.at
 
     @cached_property
     def id(self) -> JobId:
@@ -131,6 +137,18 @@
         return None
 
 
+class WaitingRecord(Struct, frozen=True):
+    """A job that waits for others to be done. Nothing is placed from it."""
+
+    spec: JobSpec
+    at: int  # time of day of the submission, ms
+    upstream: list[str] = field(name="needs")  # ids of the jobs that have to be done first
+
+    def released(self, now: WallMs) -> JobRecord:
+        """The job as it is once all that it needs is done."""
+        return JobRecord(self.spec, now, submitted=self.at)
+
+
 class FinalRecord(Struct, frozen=True):
     """What is kept of a job for ever."""
 
--- /dev/null
+++ b/src/cloverplank/jobs/waiting.py
@@ -0,0 +1,94 @@
+"""Jobs that wait for others, as this controller knows them, with an index from each job to those that need it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from msgspec import Struct
+
+from cloverplank.kinds import JobId, Stamp
+
+from .records import WaitingRecord
+
+
+class WaitingJob(Struct, frozen=True):
+    """A waiting job as it is committed."""
+
+    id: JobId
+    record: WaitingRecord
+    stamp: Stamp
+
+    @property
+    def upstream(self) -> list[JobId]:
+        """The jobs that have to be done first."""
+        return [JobId(name) for name in self.record.upstream]
+
+
+class WaitingJobs:
+    """All waiting jobs. `changed` is called where one of them, or a job that one of them needs, has news."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[JobId, WaitingJob] = {}
+        self.version = 0  # another number after each change of the set of waiting jobs
+        self.changed: Callable[[], None] = lambda: None
+        self._dependents: dict[JobId, set[JobId]] = {}
+        self._news: dict[JobId, None] = {}
+
+    def get(self, job: JobId) -> WaitingJob | None:
+        return self.jobs.get(job)
+
+    def dependents(self, upstream: JobId) -> Collection[JobId]:
+        """Waiting jobs that name this one."""
+        return self._dependents.get(upstream, ())
+
+    def apply(self, job: JobId, record: WaitingRecord, stamp: Stamp) -> None:
+        """A committed record; older ones are passed over."""
+        known = self.jobs.get(job)
+        if known is not None:
+            if stamp <= known.stamp:
+                return
+            self._unindex(known)
+        waiting = self.jobs[job] = WaitingJob(job, record, stamp)
+        for upstream in waiting.upstream:
+            self._dependents.setdefault(upstream, set()).add(job)
+        self.version += 1
+        self.look_again(job)
+
+    def remove(self, job: JobId, stamp: Stamp) -> None:
+        """The key is gone since `stamp`: the job was released or cancelled."""
+        known = self.jobs.get(job)
+        if known is None or stamp <= known.stamp:
+            return
+        del self.jobs[job]
+        self._unindex(known)
+        self._news.pop(job, None)
+        self.version += 1
+
+    def _unindex(self, known: WaitingJob) -> None:
+        for upstream in known.upstream:
+            dependents = self._dependents.get(upstream)
+            if dependents is not None:
+                dependents.discard(known.id)
+                if not dependents:
+                    del self._dependents[upstream]
+
+    def look_again(self, job: JobId) -> None:
+        """Whether this job still waits has to be decided again."""
+        if job in self.jobs:
+            self._news[job] = None
+            self.changed()
+
+    def look_at_all(self) -> None:
+        """As `look_again` for every job: by a new leader, and now and then in case something was missed."""
+        self._news.update(dict.fromkeys(self.jobs))
+
+    def upstream_changed(self, upstream: JobId) -> None:
+        """A job has ended or was cancelled."""
+        for job in self.dependents(upstream):
+            self.look_again(job)
+
+    def take_news(self) -> list[JobId]:
+        """The jobs to decide about, once each."""
+        news = list(self._news)
+        self._news.clear()
+        return news
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -16,6 +16,7 @@
 # What the bound on answers without contact leaves below `cancel_s` at the least (a worker's own lateness, rounding),
 # and the shortest bound with which a holder can do its work.
 LEAST_MARGIN_S, LEAST_CONTACT_S = 1.0, 1.0
+LEAST_VALUE_KB = 1.0  # a smaller value holds no job record
 Positive = Annotated[float, Meta(gt=0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -61,11 +62,33 @@
     cancel_s: Positive
 
 
+class ComingStateLimits(Struct):
+    """Limits that the state service will have from some later moment on; those that are absent stay."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=2)] | None = None
+
+
 class StateLimits(Struct):
+    """Limits of the state service: requests and changes a second, size of a value, changes in a transaction."""
+
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=2)]
+    next: ComingStateLimits | None = None
+
+    def lowest(self) -> StateLimits:
+        """Limits that hold now and after the coming change, which takes effect without notice."""
+        coming = self.next or ComingStateLimits()
+        return StateLimits(
+            min(self.rps, coming.rps or self.rps),
+            min(self.write_rps, coming.write_rps or self.write_rps),
+            min(self.value_kb, coming.value_kb or self.value_kb),
+            min(self.txn_ops, coming.txn_ops or self.txn_ops),
+        )
 
 
 class CloudLimits(Struct):
@@ -142,6 +165,7 @@
     for team in settings.facts.teams:
         if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
             raise BadSettings(f"facts.teams: {team.name}: guaranteed more than its limit")
+    _check_state_limits(settings.facts.state)
     workers = settings.facts.workers
     least = workers.lease_s * (1 + 2 * DRIFT) + LEAST_MARGIN_S + LEAST_CONTACT_S
     if workers.cancel_s < least:
@@ -149,6 +173,12 @@
                           f"a cancelled task can't be gone in time under {least:.2f}")
 
 
+def _check_state_limits(limits: StateLimits) -> None:
+    where = "facts.state" if limits.value_kb < LEAST_VALUE_KB else "facts.state.next"
+    if limits.lowest().value_kb < LEAST_VALUE_KB:
+        raise BadSettings(f"{where}.value_kb: under {LEAST_VALUE_KB:g} no job record fits")
+
+
 def parse_platform(text: str) -> Platform:
     try:
         settings = msgspec.convert(tomllib.loads(text), Platform, strict=False)
--- a/src/cloverplank/state/fresh.py
+++ b/src/cloverplank/state/fresh.py
@@ -8,7 +8,9 @@
 
 import asyncio
 
-from cloverplank.jobs.records import FinalRecord, JobRecord, Phase
+from cloverplank.jobs.layout import read_job
+from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
+from cloverplank.jobs.waiting import WaitingJob
 from cloverplank.kinds import Clock, JobId, Stamp
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Commit, Condition
@@ -16,11 +18,13 @@
 from . import keys
 from .client import Refused, StateClient, Unknown
 from .mirror import Mirror
+from .transitions import unknown_so_far
 
 LONGEST_GATHER_S = 0.25
 COMPARE_S = 0.9  # users wait two seconds for an answer
 MAX_READS = 24  # for one comparison; the others of it are asked about again
-Found = JobRecord | Phase | None
+Found = JobRecord | WaitingJob | Phase | None
+CONDITIONS_A_CHANGE = 4  # of a transaction, for each change that it may make
 
 
 class Fresh:
@@ -28,7 +32,7 @@
         self._client = client
         self._clock = clock
         self._mirror = mirror
-        self._batch = max(1, txn_ops * 4 // 2)
+        self._most_conditions = txn_ops * CONDITIONS_A_CHANGE
         self._asked: dict[JobId, asyncio.Future] = {}
         self._busy = 0
         self._tasks: set[asyncio.Task] = set()
@@ -58,11 +62,9 @@
                 wait = self._client.requests.wait()
                 if wait > 0:
                     await asyncio.sleep(min(LONGEST_GATHER_S, wait))
-                batch = dict(list(self._asked.items())[: self._batch])
-                for job in batch:
-                    del self._asked[job]
+                batch, conditions = self._next_batch()
                 try:
-                    await self._answer(batch)
+                    await self._answer(batch, conditions)
                 except Exception as err:
                     for future in batch.values():
                         if not future.done():
@@ -71,16 +73,40 @@
         finally:
             self._busy -= 1
 
-    async def _answer(self, batch: dict[JobId, asyncio.Future]) -> None:
+    def _next_batch(self) -> tuple[dict[JobId, asyncio.Future], dict[JobId, list[Condition]]]:
+        """As many of the jobs asked about as one comparison holds, with what is compared for each."""
+        batch: dict[JobId, asyncio.Future] = {}
+        conditions: dict[JobId, list[Condition]] = {}
+        left = self._most_conditions
+        for job, future in self._asked.items():
+            compared = self._conditions(job)
+            left -= len(compared)
+            if left < 0 and batch:
+                break
+            batch[job], conditions[job] = future, compared
+        for job in batch:
+            del self._asked[job]
+        return batch, conditions
+
+    def _conditions(self, job: JobId) -> list[Condition]:
+        """That the job is as this controller knows it: under one key with this stamp, or under none."""
+        view = self._mirror.book.get(job)
+        if view is not None:
+            return [Condition(keys.job(job), view.stamp)]
+        waiting = self._mirror.waiting.get(job)
+        if waiting is not None:
+            return [Condition(keys.waiting(job), waiting.stamp)]
+        return unknown_so_far(job)
+
+    def _known(self, job: JobId) -> Found:
+        view = self._mirror.book.get(job)
+        return self._mirror.waiting.get(job) if view is None else view.record
+
+    async def _answer(self, batch: dict[JobId, asyncio.Future], compared: dict[JobId, list[Condition]]) -> None:
         if self._client.down():
             raise Refused("down")
-        seen = {job: self._mirror.book.get(job) for job in batch}
-        records = {job: view.record for job, view in seen.items() if view is not None}
-        conditions = []
-        for job, view in seen.items():
-            conditions.append(Condition(keys.job(job), Stamp(0) if view is None else view.stamp))
-            if view is None:
-                conditions.append(Condition(keys.final(job), 0))
+        known = {job: self._known(job) for job in batch}
+        conditions = [condition for each in compared.values() for condition in each]
         asked = self._clock.mono()
         try:
             answer = await self._client.compare(Commit(conditions), COMPARE_S)
@@ -94,13 +120,13 @@
         for job, future in batch.items():
             try:
                 # One that can't be read must not leave the others without an answer.
-                if keys.job(job) in failed or keys.final(job) in failed:
+                if any(condition.key in failed for condition in compared[job]):
                     reads += 1
                     if reads > MAX_READS:
                         raise Refused("too many questions at once")
                     found = await self._read(job)
                 else:
-                    found = records.get(job)
+                    found = known[job]
             except (Refused, Unknown) as err:
                 if not future.done():
                     future.set_exception(err)
@@ -110,11 +136,15 @@
                     future.set_result(found)
 
     async def _read(self, job: JobId) -> Found:
-        """The job's key before the final one: a job moves from the first to the second."""
+        """Key by key in the order in which a job moves, so that one that moves meanwhile is not missed."""
         try:
+            if self._mirror.book.get(job) is None:
+                row = await self._client.get(keys.waiting(job))
+                if row is not None:
+                    return self._keep_waiting(job, decode(bytes(row.value), WaitingRecord), Stamp(row.version))
             row = await self._client.get(keys.job(job))
             if row is not None:
-                record = decode(bytes(row.value), JobRecord)
+                record = read_job(bytes(row.value))
                 self._mirror.put(keys.job(job), record, Stamp(row.version))
                 return record
             row = await self._client.get(keys.final(job))
@@ -125,4 +155,9 @@
             raise Unknown(str(err)) from err
         self._mirror.keep_final(job, final.phase)
         self._mirror.book.remove(job, Stamp(row.version))
+        self._mirror.waiting.remove(job, Stamp(row.version))
         return final.phase
+
+    def _keep_waiting(self, job: JobId, record: WaitingRecord, stamp: Stamp) -> WaitingJob:
+        self._mirror.put(keys.waiting(job), record, stamp)
+        return WaitingJob(job, record, stamp)
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -13,6 +13,12 @@
 FINALS = "cp/fin/"
 HIRES = "cp/hire/"
 RETURNS = "cp/ret/"
+WAITING = "cp/wait/"  # jobs that wait for others; versions without job chains don't read this prefix
+FORMAT = "cp/format"
+
+# Version of the stored records that this process can read. It goes into the controller's own record; once all
+# controllers show it, the leader commits it under FORMAT, and layouts that older versions can't read may be written.
+FORMAT_VERSION = 1
 
 
 def node(label: str) -> str:
@@ -31,6 +37,15 @@
     return FINALS + job_id
 
 
+def waiting(job_id: str) -> str:
+    return WAITING + job_id
+
+
+def all_of(job_id: str) -> list[str]:
+    """Every key that a job can be under, in the order in which it moves."""
+    return [waiting(job_id), job(job_id), final(job_id)]
+
+
 def hire(name: str) -> str:
     return HIRES + name
 
@@ -44,6 +59,13 @@
 
     zone: str
     lease: int
+    format: int = 0  # the FORMAT_VERSION of its process; versions before there was one don't write it
+
+
+class FormatRecord(Struct, frozen=True):
+    """Every controller reads records of this format version, and none comes back that does not."""
+
+    version: int
 
 
 class LeaderRecord(Struct, frozen=True):
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -9,7 +9,10 @@
 from typing import TypeVar
 
 from cloverplank.jobs.book import Book
-from cloverplank.jobs.records import FinalRecord, JobRecord, Phase
+from cloverplank.jobs.dependencies import Claims, UpstreamState, state_of_phase
+from cloverplank.jobs.layout import CompactRecord, read_job
+from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
+from cloverplank.jobs.waiting import WaitingJobs
 from cloverplank.kinds import Clock, JobId, Mono, Stamp
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.codec import BadMessage, decode
@@ -17,7 +20,7 @@
 
 from . import keys
 from .client import Lost, Refused, StateClient, Unknown
-from .keys import BlockRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
+from .keys import BlockRecord, FormatRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
 
 log = logging.getLogger("cloverplank.state")
 
@@ -29,6 +32,7 @@
 _KINDS: tuple[tuple[str, type], ...] = (
     (keys.LEADER, LeaderRecord),
     (keys.TYPES, MachineTypes),
+    (keys.FORMAT, FormatRecord),
     (keys.NODES, NodeRecord),
     (keys.BLOCKS, BlockRecord),
     (keys.HIRES, HireRecord),
@@ -43,6 +47,8 @@
         self.wait_s = WATCH_S
         self.gap_s = gap_s  # between two watches, so that they keep to their share of requests
         self.book = book
+        self.waiting = WaitingJobs()
+        self.claims = Claims(self.waiting)
         self.values: dict[str, tuple[object, Stamp]] = {}
         self._by_kind: dict[type, dict[str, tuple[object, Stamp]]] = {}  # the same again; rounds ask by kind
         self.gone: dict[str, Stamp] = {}  # stamps of deletions, against late news
@@ -72,19 +78,46 @@
     def final(self, job: JobId) -> Phase | None:
         return self.finals.get(job)
 
+    def knows(self, job: JobId) -> bool:
+        """The job was accepted, as far as this controller can tell without asking."""
+        return job in self.finals or job in self.book.jobs or job in self.waiting.jobs
+
+    def upstream_state(self, job: JobId) -> UpstreamState:
+        """What is committed of a job that another one needs."""
+        final = self.finals.get(job)
+        if final is not None:
+            return state_of_phase(final)
+        view = self.book.get(job)
+        if view is not None:
+            return state_of_phase(view.record.phase)
+        return UpstreamState.UNFINISHED if job in self.waiting.jobs else UpstreamState.NOT_IN_MEMORY
+
+    def compact_allowed(self) -> bool:
+        """Every controller reads compact job records."""
+        found = self.value(keys.FORMAT, FormatRecord)
+        return found is not None and found[0].version >= keys.FORMAT_VERSION
+
     def keep_final(self, job: JobId, phase: Phase) -> None:
         self.finals[job] = phase
         self.finals.move_to_end(job)
         while len(self.finals) > MAX_FINALS:
             self.finals.popitem(last=False)
+        self.waiting.upstream_changed(job)
 
     def put(self, key: str, value: bytes | object, stamp: Stamp) -> None:
         """News of a key, in any order: the newer stamp stays."""
         try:
             if key.startswith(keys.JOBS):
-                record = value if isinstance(value, JobRecord) else decode(bytes(value), JobRecord)
+                record = read_job(value if isinstance(value, JobRecord | CompactRecord) else bytes(value))
+                if self.gone.get(key, 0) < stamp:
+                    job = JobId(key[len(keys.JOBS):])
+                    self.book.apply(job, record, stamp)
+                    if record.phase is not Phase.OPEN:
+                        self.waiting.upstream_changed(job)
+            elif key.startswith(keys.WAITING):
+                waiting = value if isinstance(value, WaitingRecord) else decode(bytes(value), WaitingRecord)
                 if self.gone.get(key, 0) < stamp:
-                    self.book.apply(JobId(key[len(keys.JOBS):]), record, stamp)
+                    self.waiting.apply(JobId(key[len(keys.WAITING):]), waiting, stamp)
             elif key.startswith(keys.FINALS):
                 final = value if isinstance(value, FinalRecord) else decode(bytes(value), FinalRecord)
                 self.keep_final(JobId(key[len(keys.FINALS):]), final.phase)
@@ -110,6 +143,8 @@
                 del self.gone[old]
         if key.startswith(keys.JOBS):
             self.book.remove(JobId(key[len(keys.JOBS):]), stamp)
+        elif key.startswith(keys.WAITING):
+            self.waiting.remove(JobId(key[len(keys.WAITING):]), stamp)
         elif key in self.values and self.values[key][1] < stamp:
             value, _ = self.values.pop(key)
             del self._by_kind[type(value)][key]
@@ -136,7 +171,8 @@
                 if not rows.more or not rows.items:
                     break
                 after = rows.items[-1].key
-        for key in [*self.values, *(keys.job(j) for j in self.book.jobs)]:
+        jobs = [*map(keys.job, self.book.jobs), *map(keys.waiting, self.waiting.jobs)]
+        for key in [*self.values, *jobs]:
             if key not in seen:
                 self.delete(key, Stamp(first))
         self.revision = first
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -16,7 +16,7 @@
 from msgspec import Struct
 
 from cloverplank.jobs.book import Book, JobView, Pending
-from cloverplank.jobs.placing import RANKS
+from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import FinalRecord, JobRecord
 from cloverplank.kinds import Clock, JobId, Mono, Stamp
 from cloverplank.wire.codec import BadMessage, decode
@@ -45,6 +45,8 @@
 LONG, TELL_S = 60, 10.0  # a queue this long is told of in the log, so often
 MAX_WAITING = 400
 NEED_S = 2.0
+LARGEST_VALUE = 64 * 1024  # where no other limit is given
+FIRST_HOLD_S, LONGEST_HOLD_S = 0.5, 8.0  # that a job's commits pause after refused ones
 
 
 class Full(Exception):
@@ -59,11 +61,14 @@
 
 
 class CommitQueue:
-    def __init__(self, client: StateClient, mirror: Mirror, clock: Clock) -> None:
+    def __init__(
+        self, client: StateClient, mirror: Mirror, clock: Clock, space: RecordSpace | None = None
+    ) -> None:
         self._client = client
         self._mirror = mirror
         self._book: Book = mirror.book
         self._clock = clock
+        self._space = space or RecordSpace(LARGEST_VALUE, LARGEST_VALUE, mirror.compact_allowed)
         self._dirty: dict[JobId, JobView] = {}
         self._raw: list[_Raw] = []
         self._flying = 0
@@ -138,7 +143,7 @@
                 if not view.in_flight:
                     del self._dirty[view.id]
                 continue
-            if view.in_flight:
+            if view.in_flight or now < view.hold_until:
                 continue
             ready, urgency = now + 1e-9, 99
             for pending in view.pending:
@@ -146,9 +151,10 @@
                     ready = min(ready, pending.ready_at)
                     urgency = min(urgency, pending.urgency)
             # Under a backlog of arrays the commits of higher ranks waited among theirs for seconds.
-            key = (urgency, RANKS[view.record.spec.rank], ready)
-            if urgency < 99 and (best is None or key < best):
-                best, found = key, view
+            if urgency < 99 and (best is None or urgency <= best[0]):
+                key = (urgency, self._mirror.claims.of(view.record).rank, ready)
+                if best is None or key < best:
+                    best, found = key, view
         return None if best is None or found is None else (Urgency(best[0]), found)
 
     def _tell(self, now: Mono) -> None:
@@ -256,7 +262,7 @@
                 Put(keys.final(view.id), FinalRecord(record.phase, record.spec.tasks)),
             ]
         else:
-            changes = [Put(keys.job(view.id), record)]
+            changes = [Put(keys.job(view.id), self._space.stored(record))]
         return Commit([Condition(k, s) for k, s in conditions.items()], changes), used
 
     async def _send_job(self, view: JobView) -> None:
@@ -280,6 +286,7 @@
                 for pending in lost:
                     pending.settle(None)
                 return
+            view.refusals = 0
             for pending in used:
                 pending.settle(True)
             # The watch may have told of this commit before its answer came: the staged record is made
@@ -287,7 +294,9 @@
             self._book.unstage(view, used)
             self._told(commit, Stamp(answer.revision))
         except Lost as err:
-            log.error("commit of %s refused: %s", view.id, err)
+            self._hold(view)
+            log.error("commit of %s refused: %s; the next one waits %.1f s", view.id, err,
+                      view.hold_until - self._clock.mono())
             gone = list(view.pending)
             self._book.unstage(view, gone)
             for pending in gone:
@@ -299,6 +308,13 @@
             self._flying -= 1
             self._wake.set()
 
+    def _hold(self, view: JobView) -> None:
+        """What was refused once is refused again as long as nothing changes; it must not take everybody's changes."""
+        pause = min(LONGEST_HOLD_S, FIRST_HOLD_S * 2**view.refusals)
+        view.refusals += 1
+        view.hold_until = Mono(self._clock.mono() + pause)
+        view.stale = True
+
     async def _reread(self, view: JobView) -> bool:
         key = keys.job(view.id)
         try:
--- a/src/cloverplank/state/session.py
+++ b/src/cloverplank/state/session.py
@@ -113,9 +113,10 @@
             return
         sent = self._clock.mono()
         lease = await self._client.new_lease(self.lease_s)
+        record = NodeRecord(self._zone, lease, keys.FORMAT_VERSION)
         try:
             answer = await self._client.commit(
-                Commit([Condition(key, 0)], [Put(key, NodeRecord(self._zone, lease), lease)])
+                Commit([Condition(key, 0)], [Put(key, record, lease)])
             )
         except Unknown:
             # It may be carried out late and name a lease that nobody renews: others would take the lease that we
@@ -126,7 +127,7 @@
             return
         self.lease = lease
         self.touched_at = sent
-        self._mirror.put(key, NodeRecord(self._zone, lease), Stamp(answer.revision))
+        self._mirror.put(key, record, Stamp(answer.revision))
         log.info("joined with lease %d", lease)
         self.check()
         self.changed()
--- /dev/null
+++ b/src/cloverplank/state/transitions.py
@@ -0,0 +1,34 @@
+"""Commits that move a waiting job on: each takes its waiting key away and writes the key that it moves to.
+
+They are conditional on the stamp of the waiting key alone. What they rest on, jobs that are done or cancelled, is
+final, so whoever sends such a commit and however late it is carried out, it is right.
+"""
+
+from __future__ import annotations
+
+from cloverplank.jobs.records import FinalRecord, Phase
+from cloverplank.jobs.waiting import WaitingJob
+from cloverplank.kinds import JobId, WallMs
+from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
+
+from . import keys
+
+
+def unknown_so_far(job: JobId) -> list[Condition]:
+    """Conditions that nobody has accepted a job of this id: it is under none of the keys that it could be under."""
+    return [Condition(key, 0) for key in keys.all_of(job)]
+
+
+def release(job: WaitingJob, now: WallMs) -> Commit:
+    """All jobs that it needs are done: from now on it can run."""
+    return _move(job, Put(keys.job(job.id), job.record.released(now)))
+
+
+def cancel(job: WaitingJob) -> Commit:
+    """Its user cancels it, or a job that it needs was cancelled."""
+    return _move(job, Put(keys.final(job.id), FinalRecord(Phase.CANCELLED, job.record.spec.tasks)))
+
+
+def _move(job: WaitingJob, put: Put) -> Commit:
+    key = keys.waiting(job.id)
+    return Commit([Condition(key, job.stamp)], [Delete(key), put])
--- a/src/cloverplank/wire/users.py
+++ b/src/cloverplank/wire/users.py
@@ -52,6 +52,19 @@
         return self.shape == "ensemble"
 
 
+class Submission(Struct, frozen=True):
+    """A job and the jobs that have to be done before it starts."""
+
+    spec: JobSpec
+    upstream: list[str]
+
+
+class _Upstream(Struct):
+    """The part of a submission that says what it waits for; the field's name stands only here."""
+
+    upstream: list[str] | None = field(name="waits_on", default=None)
+
+
 class JobAnswer(Struct, omit_defaults=True):
     id: str
     status: str
@@ -67,8 +80,12 @@
     return JOB_ID.match(job_id) is not None
 
 
-def decode_submission(data: bytes) -> JobSpec:
+def decode_submission(data: bytes) -> Submission:
+    """A submission as a user sends it. Raises BadMessage where a field is missing or wrong."""
     spec = decode(data, JobSpec)
+    upstream = decode(data, _Upstream).upstream or []
+    if not all(valid_job_id(job) for job in upstream):
+        raise BadMessage("waits_on: not the id of a job")
     if not valid_job_id(spec.id):
         raise BadMessage("invalid id")
     if not all_finite(
@@ -78,4 +95,4 @@
         raise BadMessage("a number is not finite")
     if spec.cpus == 0 and spec.gpus == 0 and spec.memory_gb == 0:
         raise BadMessage("a task takes nothing of its machine")
-    return spec
+    return Submission(spec, upstream)
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -4,15 +4,20 @@
 
 import asyncio
 
+from msgspec import Raw
+
 from cloverplank.jobs import records
 from cloverplank.jobs.book import Book, Pending
+from cloverplank.jobs.records import JobRecord
 from cloverplank.kinds import Clock, JobId
 from cloverplank.net.messages import Response, answer
 from cloverplank.state.client import Budget, StateClient
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Urgency
-from cloverplank.wire.statesvc import Commit, CommitAnswer, Put
+from cloverplank.wire.codec import encode
+from cloverplank.wire.statesvc import Commit, CommitAnswer, Put, Row
 
+from .test_jobs import spec
 from .world.loop import run
 from .world.world import World
 
@@ -111,3 +116,51 @@
         assert world.state.items.keys() == before.keys() and len(world.machines) == machines
 
     run(play())
+
+
+class TooLarge(Service):
+    """Calls every job record too large, and carries out everything else."""
+
+    async def request(self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0) -> Response:
+        if body is not None and b"cp/job/" in body:
+            self.asked.append(asyncio.get_running_loop().time())
+            return answer(400)
+        if path.startswith("/keys/cp/job/"):
+            return answer(200, Row("cp/job/run-000001", Raw(encode(JobRecord(spec(), 1))), 3))
+        await asyncio.sleep(0.005)
+        return answer(200, CommitAnswer(1))
+
+
+def test_a_refused_commit_is_not_repeated_for_ever_and_holds_up_nobody() -> None:
+    """After the limits of the state service fell, commits that it called too large were made anew at once, several
+    times a second for each such job, from the changes that all share."""
+
+    async def play() -> tuple[int, float]:
+        clock = Clock(asyncio.get_running_loop().time)
+        service = TooLarge()
+        client = StateClient(service, "x", clock, Budget(1000.0, clock), Budget(RATE, clock))
+        mirror = Mirror(client, Book(), clock, 1.0)
+        queue = CommitQueue(client, mirror, clock)
+        mirror.put("cp/job/run-000001", JobRecord(spec(), 1), 3)
+        work = [asyncio.ensure_future(queue.run())]
+
+        async def insist() -> None:
+            while True:  # as each round of decisions does
+                view = mirror.book.get(JobId("run-000001"))
+                if not view.pending:
+                    queue.change(view, Pending(records.cancel(), int(Urgency.PLACE), clock.mono()))
+                await asyncio.sleep(0.05)
+
+        work.append(asyncio.ensure_future(insist()))
+        await asyncio.sleep(30.0)
+        began = clock.mono()
+        await queue.commit(Commit([], [Put("other/now", 0)]), Urgency.DONE)
+        took = clock.mono() - began
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        return len(service.asked), took
+
+    refused, took = run(play())
+    assert 4 <= refused <= 10
+    assert took < 0.1
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -22,6 +22,22 @@
         self.shut_out: set[str] = set()
         self.news = asyncio.Event()
         self.puts = 0
+        self.value_bytes, self.txn_ops = 8 * 1024, 12
+        self.refused_commits: list[str] = []  # why, of those that broke a limit
+
+    def over_limit(self, asked: dict) -> str:
+        """Which limit of the protocol a commit breaks, sizes counted as JSON; empty if none."""
+        writes = asked.get("writes") or []
+        if len(writes) > self.txn_ops:
+            return f"{len(writes)} changes"
+        if len(asked["when"]) > 4 * self.txn_ops:
+            return f"{len(asked['when'])} conditions"
+        if len(msgspec.json.encode(asked)) > 64 * 1024:
+            return "size of the transaction"
+        for write in writes:
+            if "put" in write and len(msgspec.json.encode(write["value"])) > self.value_bytes:
+                return f"size of {write['put']}"
+        return ""
 
     def expire(self) -> None:
         if self.down:
@@ -94,6 +110,10 @@
         def stamp(key: str) -> int:
             return self.items[key][1] if key in self.items else 0
 
+        broken = self.over_limit(asked)
+        if broken:
+            self.refused_commits.append(broken)
+            return 400, {"error": broken}
         failed = [c["path"] for c in asked["when"] if stamp(c["path"]) != c["stamp"]]
         if failed:
             return 409, {"failed": failed, "epoch": self.revision}
