--- a/src/cloverplank/api/submission.py
+++ b/src/cloverplank/api/submission.py
@@ -53,8 +53,15 @@
     """Takes the users' submissions."""
 
     def __init__(
-        self, clock: Clock, client: StateClient, mirror: Mirror, queue: CommitQueue, fresh: Fresh,
-        limits: dict[str, Limit], types: Callable[[], dict[str, MachineType]], zones: list[str],
+        self,
+        clock: Clock,
+        client: StateClient,
+        mirror: Mirror,
+        queue: CommitQueue,
+        fresh: Fresh,
+        limits: dict[str, Limit],
+        types: Callable[[], dict[str, MachineType]],
+        zones: list[str],
         value_bytes: int,
     ) -> None:
         self._clock = clock
@@ -100,8 +107,17 @@
     def _log_accepted(self, submission: Submission, state: str, began: float) -> None:
         spec = submission.spec
         needs = f", needs {' '.join(submission.upstream)}" if submission.upstream else ""
-        log.info("accepted %s (%s): %s %s of %s, %d tasks%s, in %.0f ms", spec.id, state, spec.rank, spec.job_class,
-                 spec.team, spec.tasks, needs, 1000 * (self._clock.mono() - began))
+        log.info(
+            "accepted %s (%s): %s %s of %s, %d tasks%s, in %.0f ms",
+            spec.id,
+            state,
+            spec.rank,
+            spec.job_class,
+            spec.team,
+            spec.tasks,
+            needs,
+            1000 * (self._clock.mono() - began),
+        )
 
     async def _prepare(self, submission: Submission, body_bytes: int) -> tuple[Commit, str]:
         """The commit that accepts the job, and the state that its user is told. Raises Refusal."""
--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -34,8 +34,14 @@
     """Answers users' requests. `cancel_s`: time within which cancelled jobs must be known as such everywhere."""
 
     def __init__(
-        self, clock: Clock, client: StateClient, mirror: Mirror, queue: CommitQueue, fresh: Fresh,
-        submissions: Submissions, cancel_s: float,
+        self,
+        clock: Clock,
+        client: StateClient,
+        mirror: Mirror,
+        queue: CommitQueue,
+        fresh: Fresh,
+        submissions: Submissions,
+        cancel_s: float,
     ) -> None:
         self._clock = clock
         self._client = client
@@ -48,7 +54,7 @@
 
     async def handle(self, request: Request) -> Response:
         """The answer to a request under JOBS_PATH."""
-        rest = request.path[len(JOBS_PATH):].strip("/").split("/")
+        rest = request.path[len(JOBS_PATH) :].strip("/").split("/")
         try:
             if rest == [""]:
                 if request.method != "POST":
--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -43,7 +43,8 @@
     "--config", required=True, type=click.Path(path_type=Path), help="The platform's settings (TOML)."
 )
 OPERATOR = click.option(
-    "--operator", type=click.Path(path_type=Path),
+    "--operator",
+    type=click.Path(path_type=Path),
     help="The operators' settings (protobuf text format). [default: deploy/operator.txtpb, if there is one]",
 )
 CONTROLLER = click.option("--controller", required=True, metavar="HOST:PORT", help="A controller's front address.")
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -68,9 +68,7 @@
 
 
 class Controller:
-    def __init__(
-        self, platform: Platform, operator: Operator, clock: Clock, http: Http, chance: random.Random
-    ) -> None:
+    def __init__(self, platform: Platform, operator: Operator, clock: Clock, http: Http, chance: random.Random) -> None:
         facts = platform.facts
         state_limits = facts.state.lowest()
         self.platform = platform
@@ -82,13 +80,17 @@
         self.zones = [Zone(z) for z in facts.zones]
         count = 1 + len(platform.peers)
         self.client = StateClient(
-            http, platform.outside.state, clock,
-            Budget(state_limits.rps / count, clock), Budget(state_limits.write_rps / count, clock, least=4.0),
+            http,
+            platform.outside.state,
+            clock,
+            Budget(state_limits.rps / count, clock),
+            Budget(state_limits.write_rps / count, clock, least=4.0),
         )
         self.book = Book()
         self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * state_limits.rps)))
         space = RecordSpace(
-            int(facts.state.value_kb * BYTES_A_KB), int(state_limits.value_kb * BYTES_A_KB),
+            int(facts.state.value_kb * BYTES_A_KB),
+            int(state_limits.value_kb * BYTES_A_KB),
             self.mirror.compact_allowed,
         )
         self.queue = CommitQueue(self.client, self.mirror, clock, space)
@@ -101,13 +103,22 @@
         own_lease_s = min(operator.controller_lease_s, hold_on_s)
         self.mirror.wait_s = min(self.mirror.wait_s, own_lease_s * WATCH_LEASES)
         self.session = Session(
-            self.me, Zone(platform.location), self.client, self.mirror, clock, own_lease_s, hold_on_s,
+            self.me,
+            Zone(platform.location),
+            self.client,
+            self.mirror,
+            clock,
+            own_lease_s,
+            hold_on_s,
         )
         self.limits = Limits(
-            report_s=workers.report_s, lease_s=workers.lease_s, hold_on_s=hold_on_s,
+            report_s=workers.report_s,
+            lease_s=workers.lease_s,
+            hold_on_s=hold_on_s,
             taint_after_s=operator.taint_after_s or max(3 * workers.report_s, workers.lease_s),
             quiet_after_s=operator.no_new_after_reports * workers.report_s,
-            space=space, write_rps=state_limits.write_rps,
+            space=space,
+            write_rps=state_limits.write_rps,
             eviction_limit_ms=int(operator.eviction_limit_s * 1000),
             faulty_errors=int(operator.faulty_errors),
             release_after_s=operator.release_silent_reports * workers.report_s,
@@ -124,7 +135,8 @@
         self.returning = Returning(self.mirror)
         self.headroom = Headroom(
             {o.job_class for o in facts.objectives if o.kind == "wait" and o.job_class},
-            operator.headroom_factor, operator.headroom_least_tasks,
+            operator.headroom_factor,
+            operator.headroom_least_tasks,
         )
         within: dict[str, list[float]] = {}
         for o in facts.objectives:
@@ -140,14 +152,31 @@
         self._tasks: set[asyncio.Task] = set()
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
         self.leader = Leader(
-            platform, operator, clock, self.session, self.mirror, self.queue, self.roster, self.cloud,
-            self.headroom, lambda: self._types, self.peers, self.targets, self.returning,
+            platform,
+            operator,
+            clock,
+            self.session,
+            self.mirror,
+            self.queue,
+            self.roster,
+            self.cloud,
+            self.headroom,
+            lambda: self._types,
+            self.peers,
+            self.targets,
+            self.returning,
         )
         self.dependency_sweep = DependencySweep(clock, self.session, self.mirror, self.queue, self.fresh)
         submissions = Submissions(
-            clock, self.client, self.mirror, self.queue, self.fresh,
+            clock,
+            self.client,
+            self.mirror,
+            self.queue,
+            self.fresh,
             {t.name: Limit(t.cpus_max, t.gpus_max) for t in facts.teams},
-            lambda: self._types, list(facts.zones), space.lowest_value_bytes,
+            lambda: self._types,
+            list(facts.zones),
+            space.lowest_value_bytes,
         )
         self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, workers.cancel_s)
         self.book.changed = self._job_changed
@@ -208,10 +237,14 @@
         """Without machines."""
         now = self._clock.mono()
         return Hint(
-            self.me, self.platform.location, not self.client.down(1.0),
+            self.me,
+            self.platform.location,
+            not self.client.down(1.0),
             {zone: len(heard) for zone, heard in self._heard.items()},
-            [], {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
-            now < self.session.shy_until, self.queue.need(),
+            [],
+            {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
+            now < self.session.shy_until,
+            self.queue.need(),
             [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
         )
 
@@ -281,7 +314,8 @@
         known = self.mirror.stamp(keys.block(zone))
         now = self._clock.mono()
         found = [
-            (hint.holds[zone], node) for node, (hint, at) in self.peers.items()
+            (hint.holds[zone], node)
+            for node, (hint, at) in self.peers.items()
             if now - at < 4.0 and hint.holds.get(zone, 0) > known
         ]
         return max(found)[1] if found else None
@@ -360,8 +394,16 @@
     def _take_block(self, zone: Zone, baton: Baton) -> None:
         log.info("block %s: taken, baton %d", zone, baton)
         block = Block(
-            zone, baton, self._clock, self.book, self.mirror, self.queue, self._http, self.limits,
-            lambda: self._types, self.returning,
+            zone,
+            baton,
+            self._clock,
+            self.book,
+            self.mirror,
+            self.queue,
+            self._http,
+            self.limits,
+            lambda: self._types,
+            self.returning,
             lambda: self.session.check() is Standing.MEMBER and zone in self.blocks,
             self.kick,
         )
@@ -407,19 +449,33 @@
                     health = "lost"
                 elif block.faulty(machine):
                     health = "faulty"
-                result.append(MachineHint(
-                    machine.id, machine.addr, machine.type, block.zone, machine.spot, health,
-                    max(0.0, now - machine.heard_at),
-                    None if machine.ends_at is None else machine.ends_at - now, list(machine.images)[-HINT_IMAGES:],
-                ))
+                result.append(
+                    MachineHint(
+                        machine.id,
+                        machine.addr,
+                        machine.type,
+                        block.zone,
+                        machine.spot,
+                        health,
+                        max(0.0, now - machine.heard_at),
+                        None if machine.ends_at is None else machine.ends_at - now,
+                        list(machine.images)[-HINT_IMAGES:],
+                    )
+                )
         return result
 
     def turns(self) -> list[Turn]:
         now = self._clock.wall()
         turns = in_order(
-            (v.staged for v in self.book.jobs.values()
-             if v.staged.phase is Phase.OPEN and not self.book.called_off(v.id)),
-            self.guarantees, self.most_cpus, now, self.mirror.claims.of,
+            (
+                v.staged
+                for v in self.book.jobs.values()
+                if v.staged.phase is Phase.OPEN and not self.book.called_off(v.id)
+            ),
+            self.guarantees,
+            self.most_cpus,
+            now,
+            self.mirror.claims.of,
         )
         for turn in turns:
             turn.pressing = turn.guaranteed or turn.overdue > 0 or self.targets.pressing(turn.record, now)
@@ -520,9 +576,7 @@
         # A new holder is found by its workers only after the former one stopped answering them.
         patience = max(3.5, 1.75 * self.limits.report_s) if block.last_report_at > block.since else TAKEOVER_S
         expected = sum(1 for m in block.machines.values() if m.health in (Health.UP, Health.QUIET))
-        others = any(
-            now - at < 3.0 and hint.state_ok and not hint.shy for hint, at in self.peers.values()
-        )
+        others = any(now - at < 3.0 and hint.state_ok and not hint.shy for hint, at in self.peers.values())
         if expected >= 2 and others and silent > patience:
             log.info("block %s: %d machines and not one report for %.1f s: giving it up", block.zone, expected, silent)
             self.session.shy_until = Mono(now + SHY_S)
@@ -591,7 +645,7 @@
             machines = self._machine_hints() if full else []
             # In parts: the machines of a large block in one message were refused for its size.
             parts = [
-                encode(msgspec.structs.replace(hint, machines=machines[at:at + MACHINES_A_HINT]))
+                encode(msgspec.structs.replace(hint, machines=machines[at : at + MACHINES_A_HINT]))
                 for at in range(0, max(1, len(machines)), MACHINES_A_HINT)
             ]
             short = [encode(hint)]
@@ -610,8 +664,15 @@
 
     async def run(self) -> None:
         await asyncio.gather(
-            self.mirror.run(), self.session.run(), self.queue.run(), self._rounds(), self._govern(),
-            self._learn_types(), self._hints(), self.leader.run(), self.dependency_sweep.run(),
+            self.mirror.run(),
+            self.session.run(),
+            self.queue.run(),
+            self._rounds(),
+            self._govern(),
+            self._learn_types(),
+            self._hints(),
+            self.leader.run(),
+            self.dependency_sweep.run(),
         )
 
 
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -69,9 +69,19 @@
     """One zone's machines under one grant. Ends with the grant; a new grant makes a new Block."""
 
     def __init__(
-        self, zone: Zone, baton: Baton, clock: Clock, book: Book, mirror: Mirror, queue: CommitQueue,
-        http: Http, limits: Limits, types: Callable[[], dict[str, MachineType]], returning: Returning,
-        may_start: Callable[[], bool], kick: Callable[[], None],
+        self,
+        zone: Zone,
+        baton: Baton,
+        clock: Clock,
+        book: Book,
+        mirror: Mirror,
+        queue: CommitQueue,
+        http: Http,
+        limits: Limits,
+        types: Callable[[], dict[str, MachineType]],
+        returning: Returning,
+        may_start: Callable[[], bool],
+        kick: Callable[[], None],
     ) -> None:
         self.zone = zone
         self.baton = baton
@@ -174,8 +184,13 @@
 
     def _depose(self, report: Report) -> None:
         if not self.deposed:
-            log.info("block %s: worker %s has baton %d above ours, %d: deposed",
-                     self.zone, report.machine, report.token, self.baton)
+            log.info(
+                "block %s: worker %s has baton %d above ours, %d: deposed",
+                self.zone,
+                report.machine,
+                report.token,
+                self.baton,
+            )
             self.deposed_by, self.deposed_at = MachineId(report.machine), self.clock.mono()
         self.deposed = True
         raise Deposed
@@ -286,7 +301,7 @@
         if len(self.errors) > 2000:
             self.errors.pop(next(iter(self.errors)))
         tries = len(failed_on)
-        self.back_off[job] = Mono(now + min(30.0, 0.5 * 2**min(tries, 8)))
+        self.back_off[job] = Mono(now + min(30.0, 0.5 * 2 ** min(tries, 8)))
         machine.failed_jobs.add(job)
         log.info("job %s failed on machine %s (%d machines so far)", job, machine.id, tries)
 
@@ -429,19 +444,20 @@
 
     # -- the round: health, stops, placement
 
-    def change(self, view: JobView, change: records.Change, urgency: Urgency, delay: float = 0.0,
-                plan: str = "") -> None:
+    def change(
+        self, view: JobView, change: records.Change, urgency: Urgency, delay: float = 0.0, plan: str = ""
+    ) -> None:
         ready = Mono(self.clock.mono() + delay)
         self._queue.change(view, Pending(change, int(urgency), ready, self.conditions, plan=plan))
 
     def evict(self, machine: MachineId, why: str) -> None:
         views = [
-            v for v in self.book.on(machine)
-            if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
+            v for v in self.book.on(machine) if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
         ]
         if views:
-            log.info("eviction: machine %s %s: %d jobs: %s", machine, why, len(views),
-                     " ".join(v.id for v in views[:10]))
+            log.info(
+                "eviction: machine %s %s: %d jobs: %s", machine, why, len(views), " ".join(v.id for v in views[:10])
+            )
         for view in views:
             self.change(view, records.evict(machine, self.clock.wall()), Urgency.PLACE)
 
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -47,9 +47,19 @@
     """Lives as long as the process; acts only while the session says that it leads."""
 
     def __init__(
-        self, platform: Platform, operator: Operator, clock: Clock, session: Session, mirror: Mirror,
-        queue: CommitQueue, roster: Roster, cloud: Cloud, headroom: Headroom,
-        types: Callable[[], dict[str, MachineType]], peers: dict[NodeId, tuple[Hint, Mono]], targets: Targets,
+        self,
+        platform: Platform,
+        operator: Operator,
+        clock: Clock,
+        session: Session,
+        mirror: Mirror,
+        queue: CommitQueue,
+        roster: Roster,
+        cloud: Cloud,
+        headroom: Headroom,
+        types: Callable[[], dict[str, MachineType]],
+        peers: dict[NodeId, tuple[Hint, Mono]],
+        targets: Targets,
         returning: Returning,
     ) -> None:
         self._platform = platform
@@ -193,8 +203,9 @@
                 continue
             shortages += short
             if allotment != record.allot and not view.planned("allot", "place"):
-                pending = Pending(records.allot(allotment), int(Urgency.PLACE), self._clock.mono(), condition,
-                                  plan="allot")
+                pending = Pending(
+                    records.allot(allotment), int(Urgency.PLACE), self._clock.mono(), condition, plan="allot"
+                )
                 self._queue.change(view, pending)
         if not kept:
             shortages += self._keep_room(ready, rooms, rentable)
@@ -224,8 +235,11 @@
             if kind is None or hire.machines:
                 continue
             for number in range(hire.count):
-                result.append(room_of(MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, frozenset(),
-                                      self._book, False))
+                result.append(
+                    room_of(
+                        MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, frozenset(), self._book, False
+                    )
+                )
         return Rooms(result, least_cpus)
 
     def _usable(self, known: Known) -> bool:
@@ -321,8 +335,14 @@
             self._hire_seq += 1
             name = f"r-{stamp}-{self._hire_seq}"
             hire = HireRecord(want.kind.type, want.kind.zone, want.kind.spot, want.count, self._clock.wall())
-            log.info("rent %s: %d %s in %s, %s", name, want.count, want.kind.type, want.kind.zone,
-                     "spot" if want.kind.spot else "ordinary")
+            log.info(
+                "rent %s: %d %s in %s, %s",
+                name,
+                want.count,
+                want.kind.type,
+                want.kind.zone,
+                "spot" if want.kind.spot else "ordinary",
+            )
             if not await self._write([Put(keys.hire(name), hire)]):
                 return
             await self._call(name, hire)
@@ -337,8 +357,9 @@
         try:
             machines = await self._cloud.rent(RentRequest(name, hire.type, hire.zone, hire.spot, hire.count))
         except NoCapacity:
-            log.info("rent %s: no capacity for %s in %s, %s", name, hire.type, hire.zone,
-                     "spot" if hire.spot else "ordinary")
+            log.info(
+                "rent %s: no capacity for %s in %s, %s", name, hire.type, hire.zone, "spot" if hire.spot else "ordinary"
+            )
             self._pause(kind)
             await self._write([Delete(keys.hire(name))])
             return
@@ -363,7 +384,7 @@
         """In as many commits as it takes."""
         size = max(1, self._platform.facts.state.lowest().txn_ops)
         for start in range(0, len(changes), size):
-            if not await self._write(changes[start:start + size]):
+            if not await self._write(changes[start : start + size]):
                 return False
         return True
 
@@ -373,10 +394,7 @@
         stamp = self._session.leads()
         if stamp is None:
             return False
-        known = [
-            Condition(key, self._mirror.stamp(key))
-            for key in dict.fromkeys(c.key for c in changes)
-        ]
+        known = [Condition(key, self._mirror.stamp(key)) for key in dict.fromkeys(c.key for c in changes)]
         try:
             answer = await self._queue.commit(Commit([Condition(keys.LEADER, stamp), *known], changes), Urgency.PLACE)
         except (Lost, Full, Refused, Unknown):
@@ -425,8 +443,11 @@
             elif known.heard_at is not None and silent > 50.0:
                 result.append((known, "silent"))
             elif (
-                known.idle_since is not None and now - known.idle_since >= idle_s and age >= LEAST_PAID_S
-                and known.heard_at is not None and not known.ends
+                known.idle_since is not None
+                and now - known.idle_since >= idle_s
+                and age >= LEAST_PAID_S
+                and known.heard_at is not None
+                and not known.ends
             ):
                 result.append((known, "idle"))
         return result
@@ -446,9 +467,9 @@
         for known, why in found:
             log.info("return: machine %s: %s", known.id, why)
         if found:
-            await self._write([Put(self._return_key(), ReturnRecord(
-                self._clock.wall(), {known.id: why for known, why in found}
-            ))])
+            await self._write(
+                [Put(self._return_key(), ReturnRecord(self._clock.wall(), {known.id: why for known, why in found}))]
+            )
         ready = self._drained()
         await self._write_all(self._left_over())
         if ready:
@@ -465,9 +486,11 @@
             for name, why in batch.draining.items():
                 since = self._draining.setdefault(name, now)
                 busy = bool(self._book.on(MachineId(name)))
-                if now - since >= DRAIN_S and (
-                    not busy or why in ("failed", "silent", "never up") or now - since > 40
-                ) and not (busy and why == "idle"):
+                if (
+                    now - since >= DRAIN_S
+                    and (not busy or why in ("failed", "silent", "never up") or now - since > 40)
+                    and not (busy and why == "idle")
+                ):
                     ready.append(MachineId(name))
         return ready
 
@@ -514,7 +537,7 @@
                 changes.append(Put(key, ReturnRecord(now, draining, sorted([*batch.gone, *gone]))))
         gone_names = sorted(left)
         for at in range(0, len(gone_names), MAX_RETURNS):
-            changes.append(Put(self._return_key(), ReturnRecord(now, {}, gone_names[at:at + MAX_RETURNS])))
+            changes.append(Put(self._return_key(), ReturnRecord(now, {}, gone_names[at : at + MAX_RETURNS])))
         written = set(self._unrecorded)
         if await self._write_all(changes):
             self._unrecorded -= written
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -81,10 +81,19 @@
         """A report that says nothing that the last one did not say, of a machine that had nothing left to do and
         whose jobs have not changed since: most are, and they must not cost what grows with tasks or jobs."""
         return (
-            self.settled == touched and self.health is Health.UP and self.proven and self.fenced
-            and report.token == self.token and report.session == self.session and report.seq > self.seq
-            and report.notice_s is None and self.ends_at is None and not self.in_answer and not self.in_orders
-            and not self.unresolved and report.tasks == self.shown
+            self.settled == touched
+            and self.health is Health.UP
+            and self.proven
+            and self.fenced
+            and report.token == self.token
+            and report.session == self.session
+            and report.seq > self.seq
+            and report.notice_s is None
+            and self.ends_at is None
+            and not self.in_answer
+            and not self.in_orders
+            and not self.unresolved
+            and report.tasks == self.shown
         )
 
     def again(self, report: Report, now: Mono) -> None:
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -65,11 +65,18 @@
     def _settled(self, view: JobView) -> bool:
         """All replicas of a job run: one more can be moved without anybody missing two."""
         block = self._block
-        return not view.pending and view.record.missing_count() == 0 and all(
-            run.zone != block.zone
-            or ((ref := TaskRef(view.id, index, run.attempt)) not in block.stops  # type: ignore[arg-type]
-            and block.is_running(ref, run.machine))
-            for run in view.record.runs for index in numbers(run.tasks)
+        return (
+            not view.pending
+            and view.record.missing_count() == 0
+            and all(
+                run.zone != block.zone
+                or (
+                    (ref := TaskRef(view.id, index, run.attempt)) not in block.stops  # type: ignore[arg-type]
+                    and block.is_running(ref, run.machine)
+                )
+                for run in view.record.runs
+                for index in numbers(run.tasks)
+            )
         )
 
     def _movable(self, machine: Machine, now: Mono) -> list[JobView] | None:
@@ -100,7 +107,9 @@
             spec = view.record.spec
             tasks = view.staged.placed_on(machine.id)
             found = rooms.fill(
-                view.record, self._block.zone, tasks,
+                view.record,
+                self._block.zone,
+                tasks,
                 allowed=lambda r, image=spec.image: r.machine != machine.id and not r.empty and image in r.images,
             )
             if sum(p.count for p in found) < tasks:
--- a/src/cloverplank/fleet/preempting.py
+++ b/src/cloverplank/fleet/preempting.py
@@ -137,8 +137,15 @@
         spec = turn.record.spec
 
         def fits(extra: list[float]) -> int:
-            after = Room(room.machine, room.zone, room.type, room.spot, room.cpus + extra[0],
-                         room.gpus + extra[1], room.memory_gb + extra[2])
+            after = Room(
+                room.machine,
+                room.zone,
+                room.type,
+                room.spot,
+                room.cpus + extra[0],
+                room.gpus + extra[1],
+                room.memory_gb + extra[2],
+            )
             return min(tasks, room_for(spec, after))
 
         chosen: list[Victim] = []
@@ -158,8 +165,12 @@
                 best, best_chosen, best_extra = fits(extra), len(chosen), list(extra)
         for victim in chosen[:best_chosen]:
             other = victim.record.spec
-            self._block.stop(victim.ref, victim.machine, other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0,
-                             f"room for {turn.record.id}")
+            self._block.stop(
+                victim.ref,
+                victim.machine,
+                other.save_s + 1.0 if other.checkpoint_s > 0 else 0.0,
+                f"room for {turn.record.id}",
+            )
         if best:
             coming[:] = best_extra
             _add(coming, spec, -best)
--- a/src/cloverplank/fleet/presence.py
+++ b/src/cloverplank/fleet/presence.py
@@ -53,8 +53,7 @@
                     block.evict(name, "released")
                 continue
             # Placed by a former holder on a machine that nobody has told us of yet.
-            if any(run.zone == block.zone for view in block.book.on(name)
-                   for run in view.record.runs_on.get(name, ())):
+            if any(run.zone == block.zone for view in block.book.on(name) for run in view.record.runs_on.get(name, ())):
                 block.machine(name)
         if not block.may_start():
             return  # without the state service nothing that it judged could be committed
@@ -82,9 +81,9 @@
                 machine.tasks.clear()
                 if silent > 600 and not block.book.on(machine.id):
                     del block.machines[machine.id]
-            elif machine.health is Health.DOUBTED or (silent >= limits.release_after_s > 0 and (
-                machine.health is Health.QUIET or block.book.on(machine.id)
-            )):
+            elif machine.health is Health.DOUBTED or (
+                silent >= limits.release_after_s > 0 and (machine.health is Health.QUIET or block.book.on(machine.id))
+            ):
                 self.probe(machine)
             self._check_unresolved(machine, now)
             block.check_notice(machine, now)
@@ -108,7 +107,9 @@
         if deaf:
             return  # nobody's reports come: it may be us
         saving = [
-            (ref, view.record.spec.save_s) for view in block.book.on(machine.id) if view.record.spec.checkpoint_s > 0
+            (ref, view.record.spec.save_s)
+            for view in block.book.on(machine.id)
+            if view.record.spec.checkpoint_s > 0
             for ref in block.placed_refs(view.record, machine.id)
             if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
         ]
@@ -178,8 +179,13 @@
             return  # it is there, or it is we who could not ask
         if self.deaf_since(asked) or (machine.heard_at > asked and not doubted):
             return  # it may be us who can't hear
-        self._lose(machine, now, "{} for {:.1f} s and no answer: lost".format(
-            "heard, but deaf" if doubted else "silent", asked - machine.heard_at))
+        self._lose(
+            machine,
+            now,
+            "{} for {:.1f} s and no answer: lost".format(
+                "heard, but deaf" if doubted else "silent", asked - machine.heard_at
+            ),
+        )
 
     def deaf_since(self, asked: Mono) -> bool:
         """While many machines should report, one of them would have since the question was sent. A report
@@ -195,7 +201,11 @@
             if baton == block.baton and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
                 # It reports, so its lease won't end the matter: a new baton does.
                 if not block.bump_wanted:
-                    log.info("block %s: orders for %s on %s may come late: new baton wanted",
-                             block.zone, ref.name, machine.id)
+                    log.info(
+                        "block %s: orders for %s on %s may come late: new baton wanted",
+                        block.zone,
+                        ref.name,
+                        machine.id,
+                    )
                 block.bump_wanted = True
                 return
--- a/src/cloverplank/fleet/renting.py
+++ b/src/cloverplank/fleet/renting.py
@@ -58,8 +58,11 @@
 
 
 def wants(
-    shortages: list[Shortage], types: dict[str, MachineType], refused: Callable[[Kind], bool],
-    costly: Callable[[Shortage], int], most: int,
+    shortages: list[Shortage],
+    types: dict[str, MachineType],
+    refused: Callable[[Kind], bool],
+    costly: Callable[[Shortage], int],
+    most: int,
 ) -> list[Want]:
     """Machines for the tasks that lack room, in order.
 
--- a/src/cloverplank/fleet/rooming.py
+++ b/src/cloverplank/fleet/rooming.py
@@ -20,8 +20,16 @@
     load = book.load(name)
     known = load.images.union(images) if images else load.images
     return Room(
-        name, zone, kind.name, spot, kind.cpus - load.cpus, kind.gpus - load.gpus, kind.memory_gb - load.memory_gb,
-        known, not load.tasks, real,
+        name,
+        zone,
+        kind.name,
+        spot,
+        kind.cpus - load.cpus,
+        kind.gpus - load.gpus,
+        kind.memory_gb - load.memory_gb,
+        known,
+        not load.tasks,
+        real,
     )
 
 
--- a/src/cloverplank/jobs/admission.py
+++ b/src/cloverplank/jobs/admission.py
@@ -11,9 +11,7 @@
 from .placing import fitting, zone_cap
 
 
-def refusal(
-    spec: JobSpec, limits: Mapping[str, Limit], types: Iterable[MachineType], zones: Collection[str]
-) -> str:
+def refusal(spec: JobSpec, limits: Mapping[str, Limit], types: Iterable[MachineType], zones: Collection[str]) -> str:
     """Why it can never run; empty if it can.
 
     Of an array each task runs by itself, of a service or a gang all run at the same time.
@@ -24,11 +22,13 @@
     if spec.zone is not None and spec.zone not in zones:
         return "unknown zone"
     allowed = [
-        kind for kind in types
+        kind
+        for kind in types
         if (spec.types is None or kind.name in spec.types) and fitting(spec, kind.cpus, kind.gpus, kind.memory_gb) > 0
     ]
     usable = [
-        zone for zone in zones
+        zone
+        for zone in zones
         if spec.zone in (None, zone) and any(not kind.zones or zone in kind.zones for kind in allowed)
     ]
     if not usable:
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/book.py
@@ -151,8 +151,11 @@
         gone = self.jobs.get(view.id) is not view
         now, now_staged = _runs_on(None if gone else view.record), _runs_on(None if gone else view.staged)
         whole = (
-            gone or record is None or staged is None
-            or record.phase is not view.record.phase or staged.phase is not view.staged.phase
+            gone
+            or record is None
+            or staged is None
+            or record.phase is not view.record.phase
+            or staged.phase is not view.staged.phase
         )
         for name in {**was, **was_staged, **now, **now_staged}:
             same = was.get(name) == now.get(name) and was_staged.get(name) == now_staged.get(name)
--- a/src/cloverplank/jobs/layout.py
+++ b/src/cloverplank/jobs/layout.py
@@ -81,9 +81,17 @@
         return None
     zones = sorted({run.zone for run in record.runs})
     return CompactRecord(
-        SpecRow(*msgspec.structs.astuple(record.spec)), zones, pattern,
-        _pack_runs(record.runs, zones, pattern), _pack_done(record.done),
-        record.at, record.phase, record.next, record.allot, record.evictions, record.submitted,
+        SpecRow(*msgspec.structs.astuple(record.spec)),
+        zones,
+        pattern,
+        _pack_runs(record.runs, zones, pattern),
+        _pack_done(record.done),
+        record.at,
+        record.phase,
+        record.next,
+        record.allot,
+        record.evictions,
+        record.submitted,
     )
 
 
@@ -91,9 +99,15 @@
     """The record that was packed. Raises BadMessage."""
     try:
         return JobRecord(
-            JobSpec(*msgspec.structs.astuple(stored_record.spec)), stored_record.at, stored_record.phase,
-            stored_record.next, _unpack_done(stored_record.done), _unpack_runs(stored_record),
-            stored_record.allot, stored_record.evictions, stored_record.submitted,
+            JobSpec(*msgspec.structs.astuple(stored_record.spec)),
+            stored_record.at,
+            stored_record.phase,
+            stored_record.next,
+            _unpack_done(stored_record.done),
+            _unpack_runs(stored_record),
+            stored_record.allot,
+            stored_record.evictions,
+            stored_record.submitted,
         )
     except (IndexError, StopIteration, RuntimeError, binascii.Error, ValueError) as err:
         raise BadMessage(f"packed runs can't be read: {err}") from err
@@ -104,7 +118,7 @@
 
 def _split_name(name: str) -> tuple[str, str]:
     prefix = name.rstrip("0123456789")
-    return prefix, name[len(prefix):]
+    return prefix, name[len(prefix) :]
 
 
 def _name_pattern(runs: list[Run]) -> tuple[str, int] | None:
@@ -131,7 +145,7 @@
         _put(out, group[0].attempt)
         _put(out, len(group))
         for run in group:
-            machine = int(run.machine[len(pattern[0]):])
+            machine = int(run.machine[len(pattern[0]) :])
             _put_signed(out, machine - last_machine)
             last_machine = machine
             expected_task = _put_ranges(out, run.tasks, expected_task)
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -33,7 +33,9 @@
 
 
 def totals(
-    turns: Sequence[Turn], held: Callable[[JobId], int], limits: dict[str, Limit],
+    turns: Sequence[Turn],
+    held: Callable[[JobId], int],
+    limits: dict[str, Limit],
     others: dict[str, Limit] | None = None,
 ) -> dict[JobId, int]:
     """How many tasks each job may have on machines. `others`: what jobs without a turn still hold.
@@ -160,9 +162,7 @@
     return allotment, shortages
 
 
-def _one_zone(
-    record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Rooms, extra: int
-) -> list[Zone]:
+def _one_zone(record: JobRecord, allowed: list[Zone], placed: dict[Zone, int], rooms: Rooms, extra: int) -> list[Zone]:
     there = [z for z in placed if placed[z]]
     if there:
         return [z for z in there[:1] if z in allowed]
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -76,9 +76,7 @@
 
     def __init__(self, rooms: Iterable[Room], least_cpus: float = 0.0) -> None:
         """`least_cpus`: what has less left is passed over, since no task of this round can use it."""
-        self.by_name: dict[MachineId, Room] = {
-            room.machine: room for room in rooms if room.cpus + TINY >= least_cpus
-        }
+        self.by_name: dict[MachineId, Room] = {room.machine: room for room in rooms if room.cpus + TINY >= least_cpus}
         self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
         self._groups: dict[tuple[Zone, bool, bool], list[Room]] | None = None  # by zone, up or not, spot or not
         self._with_image: dict[tuple[Zone, bool, bool, str], list[Room]] = {}
@@ -132,8 +130,10 @@
         found = False
         for room in self._in_order(spec, zone):
             if (
-                room.cpus >= cpus and room.memory_gb >= memory_gb
-                and (wakes or room.spot or not room.empty) and room_for(spec, room) > 0
+                room.cpus >= cpus
+                and room.memory_gb >= memory_gb
+                and (wakes or room.spot or not room.empty)
+                and room_for(spec, room) > 0
             ):
                 found = True
                 yield room
@@ -150,7 +150,11 @@
         return have
 
     def fill(
-        self, record: JobRecord, zone: Zone, most: int, pressing: bool = True,
+        self,
+        record: JobRecord,
+        zone: Zone,
+        most: int,
+        pressing: bool = True,
         allowed: Callable[[Room], bool] | None = None,
     ) -> list[Placement]:
         """Puts up to `most` missing tasks of a job into the rooms of a zone, and takes the room."""
@@ -172,7 +176,9 @@
 def _no_easier(spec: JobSpec, other: JobSpec) -> bool:
     """Where a task of `other` finds no room, one of `spec` finds none either."""
     return (
-        spec.cpus >= other.cpus and spec.memory_gb >= other.memory_gb and spec.gpus >= other.gpus
+        spec.cpus >= other.cpus
+        and spec.memory_gb >= other.memory_gb
+        and spec.gpus >= other.gpus
         and (other.spot or not spec.spot)
         and other.zone in (None, spec.zone)
         and (other.types is None or (spec.types is not None and set(spec.types) <= set(other.types)))
@@ -197,8 +203,12 @@
 
     def key(self) -> tuple:
         return (
-            self.overdue < 2, not (self.guaranteed or self.overdue), self.rank,
-            not self.overdue, self.finish, self.record.id,
+            self.overdue < 2,
+            not (self.guaranteed or self.overdue),
+            self.rank,
+            not self.overdue,
+            self.finish,
+            self.record.id,
         )
 
 
@@ -259,8 +269,11 @@
 
 
 def in_order(
-    records: Iterable[JobRecord], guarantees: dict[str, tuple[float, float]], most: dict[str, float] | None = None,
-    now: WallMs | None = None, claim_of: Callable[[JobRecord], Claim] = own_claim,
+    records: Iterable[JobRecord],
+    guarantees: dict[str, tuple[float, float]],
+    most: dict[str, float] | None = None,
+    now: WallMs | None = None,
+    claim_of: Callable[[JobRecord], Claim] = own_claim,
 ) -> list[Turn]:
     """Guarantee, then rank, then age. A job is guaranteed while it fits its team's guarantee
     together with the team's jobs before it. `most`: cpus that each team may use."""
@@ -282,6 +295,19 @@
 
 
 __all__ = [
-    "GUESS", "NO_TARGET_MS", "RANKS", "TINY", "Room", "Rooms", "Targets", "Turn", "fitting", "in_order", "occupy",
-    "protected", "room_for", "suits", "zone_cap",
+    "GUESS",
+    "NO_TARGET_MS",
+    "RANKS",
+    "TINY",
+    "Room",
+    "Rooms",
+    "Targets",
+    "Turn",
+    "fitting",
+    "in_order",
+    "occupy",
+    "protected",
+    "room_for",
+    "suits",
+    "zone_cap",
 ]
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -24,27 +24,63 @@
 
 
 TABLE = (
-    Setting("taint_after_s", 0.0, 0.0, 600.0,
-            "silence after which a machine is tainted and evicted; 0: as soon as its lease has run out"),
-    Setting("no_new_after_reports", 1.7, 1.0, 20.0,
-            "report periods of silence after which a machine gets no new tasks"),
-    Setting("release_silent_reports", 1.7, 0.0, 100.0,
-            "report periods of silence after which a machine with tasks is asked directly and, without an answer, "
-            "released; 0: never"),
-    Setting("eviction_limit_s", 600.0, 1.0, 86400.0,
-            "age at which an eviction entry is dropped although no replacement is healthy"),
+    Setting(
+        "taint_after_s",
+        0.0,
+        0.0,
+        600.0,
+        "silence after which a machine is tainted and evicted; 0: as soon as its lease has run out",
+    ),
+    Setting(
+        "no_new_after_reports", 1.7, 1.0, 20.0, "report periods of silence after which a machine gets no new tasks"
+    ),
+    Setting(
+        "release_silent_reports",
+        1.7,
+        0.0,
+        100.0,
+        "report periods of silence after which a machine with tasks is asked directly and, without an answer, "
+        "released; 0: never",
+    ),
+    Setting(
+        "eviction_limit_s",
+        600.0,
+        1.0,
+        86400.0,
+        "age at which an eviction entry is dropped although no replacement is healthy",
+    ),
     Setting("controller_lease_s", 4.0, 1.0, 60.0, "life of a controller's lease in the state service"),
-    Setting("hold_on_margin_s", 5.0, 1.0, 60.0,
-            "cancel_s less lease_s less this: how long a holder without the state service answers reports"),
+    Setting(
+        "hold_on_margin_s",
+        5.0,
+        1.0,
+        60.0,
+        "cancel_s less lease_s less this: how long a holder without the state service answers reports",
+    ),
     Setting("idle_release_s", 12.0, 0.0, 3600.0, "idle time after which an ordinary machine is returned"),
     Setting("idle_release_spot_s", 25.0, 0.0, 3600.0, "idle time after which a spot machine is returned"),
-    Setting("headroom_factor", 1.6, 0.0, 10.0,
-            "room kept ready for classes that should start at once: times two jobs of mean size"),
+    Setting(
+        "headroom_factor",
+        1.6,
+        0.0,
+        10.0,
+        "room kept ready for classes that should start at once: times two jobs of mean size",
+    ),
     Setting("headroom_least_tasks", 2.0, 0.0, 1000.0, "room kept ready for such a class at the least, in tasks"),
-    Setting("trusted_capacity", 0.8, 0.0, 1.0,
-            "part of what is rented that is counted on to do waiting arrays before they are late"),
-    Setting("patience", 0.4, 0.0, 1.0,
-            "part of its time that a job which may use spot machines waits before it wakes an idle ordinary one"),
+    Setting(
+        "trusted_capacity",
+        0.8,
+        0.0,
+        1.0,
+        "part of what is rented that is counted on to do waiting arrays before they are late",
+    ),
+    Setting(
+        "patience",
+        0.4,
+        0.0,
+        1.0,
+        "part of its time that a job which may use spot machines waits before it wakes an idle ordinary one",
+    ),
     Setting("rent_limit", 1000.0, 1.0, 100000.0, "machines rented at the most"),
     Setting("refused_pause_s", 8.0, 1.0, 600.0, "pause after the cloud refused a type, zone and kind"),
     Setting("never_up_factor", 4.0, 1.5, 100.0, "boot times after which a machine that is not up is returned"),
@@ -90,8 +126,13 @@
     zone.field.add(name="zone", number=1, type=kinds.TYPE_STRING, label=kinds.LABEL_REQUIRED)
     zone.field.add(name="weight", number=2, type=kinds.TYPE_DOUBLE, label=kinds.LABEL_REQUIRED)
     operator = file.message_type.add(name="Operator")
-    operator.field.add(name="zone_weight", number=1, type=kinds.TYPE_MESSAGE, label=kinds.LABEL_REPEATED,
-                       type_name=".cloverplank.ZoneWeight")
+    operator.field.add(
+        name="zone_weight",
+        number=1,
+        type=kinds.TYPE_MESSAGE,
+        label=kinds.LABEL_REPEATED,
+        type_name=".cloverplank.ZoneWeight",
+    )
     for number, setting in enumerate(TABLE, start=2):
         operator.field.add(name=setting.name, number=number, type=kinds.TYPE_DOUBLE, label=kinds.LABEL_OPTIONAL)
     pool = descriptor_pool.DescriptorPool()
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -169,8 +169,10 @@
     workers = settings.facts.workers
     least = workers.lease_s * (1 + 2 * DRIFT) + LEAST_MARGIN_S + LEAST_CONTACT_S
     if workers.cancel_s < least:
-        raise BadSettings(f"facts.workers.cancel_s: {workers.cancel_s:g} is too short for lease_s {workers.lease_s:g}: "
-                          f"a cancelled task can't be gone in time under {least:.2f}")
+        raise BadSettings(
+            f"facts.workers.cancel_s: {workers.cancel_s:g} is too short for lease_s {workers.lease_s:g}: "
+            f"a cancelled task can't be gone in time under {least:.2f}"
+        )
 
 
 def _check_state_limits(limits: StateLimits) -> None:
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -70,7 +70,7 @@
 
     def under(self, prefix: str, kind: type[T]) -> dict[str, tuple[T, Stamp]]:
         return {
-            key[len(prefix):]: (value, stamp)  # type: ignore[misc]
+            key[len(prefix) :]: (value, stamp)  # type: ignore[misc]
             for key, (value, stamp) in self._by_kind.get(kind, {}).items()
             if key.startswith(prefix)
         }
@@ -110,17 +110,17 @@
             if key.startswith(keys.JOBS):
                 record = read_job(value if isinstance(value, JobRecord | CompactRecord) else bytes(value))
                 if self.gone.get(key, 0) < stamp:
-                    job = JobId(key[len(keys.JOBS):])
+                    job = JobId(key[len(keys.JOBS) :])
                     self.book.apply(job, record, stamp)
                     if record.phase is not Phase.OPEN:
                         self.waiting.upstream_changed(job)
             elif key.startswith(keys.WAITING):
                 waiting = value if isinstance(value, WaitingRecord) else decode(bytes(value), WaitingRecord)
                 if self.gone.get(key, 0) < stamp:
-                    self.waiting.apply(JobId(key[len(keys.WAITING):]), waiting, stamp)
+                    self.waiting.apply(JobId(key[len(keys.WAITING) :]), waiting, stamp)
             elif key.startswith(keys.FINALS):
                 final = value if isinstance(value, FinalRecord) else decode(bytes(value), FinalRecord)
-                self.keep_final(JobId(key[len(keys.FINALS):]), final.phase)
+                self.keep_final(JobId(key[len(keys.FINALS) :]), final.phase)
             else:
                 self._put_other(key, value, stamp)
         except BadMessage as err:
@@ -142,9 +142,9 @@
             for old in sorted(self.gone, key=lambda k: self.gone[k])[:2500]:
                 del self.gone[old]
         if key.startswith(keys.JOBS):
-            self.book.remove(JobId(key[len(keys.JOBS):]), stamp)
+            self.book.remove(JobId(key[len(keys.JOBS) :]), stamp)
         elif key.startswith(keys.WAITING):
-            self.waiting.remove(JobId(key[len(keys.WAITING):]), stamp)
+            self.waiting.remove(JobId(key[len(keys.WAITING) :]), stamp)
         elif key in self.values and self.values[key][1] < stamp:
             value, _ = self.values.pop(key)
             del self._by_kind[type(value)][key]
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -61,9 +61,7 @@
 
 
 class CommitQueue:
-    def __init__(
-        self, client: StateClient, mirror: Mirror, clock: Clock, space: RecordSpace | None = None
-    ) -> None:
+    def __init__(self, client: StateClient, mirror: Mirror, clock: Clock, space: RecordSpace | None = None) -> None:
         self._client = client
         self._mirror = mirror
         self._book: Book = mirror.book
@@ -165,8 +163,12 @@
         kinds = Counter(raw.urgency.name.lower() for raw in self._raw)
         for view in self._dirty.values():
             kinds[Urgency(min((p.urgency for p in view.pending), default=Urgency.DONE)).name.lower()] += 1
-        log.info("commit queue: %d wait (%s) for %.1f changes a second", self.waiting(),
-                 ", ".join(f"{n} {kind}" for kind, n in kinds.most_common()), self._client.changes.rate)
+        log.info(
+            "commit queue: %d wait (%s) for %.1f changes a second",
+            self.waiting(),
+            ", ".join(f"{n} {kind}" for kind, n in kinds.most_common()),
+            self._client.changes.rate,
+        )
 
     async def run(self) -> None:
         while True:
@@ -295,8 +297,12 @@
             self._told(commit, Stamp(answer.revision))
         except Lost as err:
             self._hold(view)
-            log.error("commit of %s refused: %s; the next one waits %.1f s", view.id, err,
-                      view.hold_until - self._clock.mono())
+            log.error(
+                "commit of %s refused: %s; the next one waits %.1f s",
+                view.id,
+                err,
+                view.hold_until - self._clock.mono(),
+            )
             gone = list(view.pending)
             self._book.unstage(view, gone)
             for pending in gone:
--- a/src/cloverplank/state/session.py
+++ b/src/cloverplank/state/session.py
@@ -31,8 +31,14 @@
 
 class Session:
     def __init__(
-        self, me: NodeId, zone: Zone, client: StateClient, mirror: Mirror, clock: Clock,
-        lease_s: float, hold_on_s: float,
+        self,
+        me: NodeId,
+        zone: Zone,
+        client: StateClient,
+        mirror: Mirror,
+        clock: Clock,
+        lease_s: float,
+        hold_on_s: float,
     ) -> None:
         self.me = me
         self._zone = zone
@@ -115,9 +121,7 @@
         lease = await self._client.new_lease(self.lease_s)
         record = NodeRecord(self._zone, lease, keys.FORMAT_VERSION)
         try:
-            answer = await self._client.commit(
-                Commit([Condition(key, 0)], [Put(key, record, lease)])
-            )
+            answer = await self._client.commit(Commit([Condition(key, 0)], [Put(key, record, lease)]))
         except Unknown:
             # It may be carried out late and name a lease that nobody renews: others would take the lease that we
             # have by then for ended. Without the lease it can't be.
--- a/src/cloverplank/wire/users.py
+++ b/src/cloverplank/wire/users.py
@@ -89,8 +89,14 @@
     if not valid_job_id(spec.id):
         raise BadMessage("invalid id")
     if not all_finite(
-        spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s,
-        spec.checkpoint_s, spec.save_s, spec.deadline_s,
+        spec.cpus,
+        spec.gpus,
+        spec.memory_gb,
+        spec.image_gb,
+        spec.estimate_s,
+        spec.checkpoint_s,
+        spec.save_s,
+        spec.deadline_s,
     ):
         raise BadMessage("a number is not finite")
     if spec.cpus == 0 and spec.gpus == 0 and spec.memory_gb == 0:
--- a/tests/production/record.py
+++ b/tests/production/record.py
@@ -16,9 +16,23 @@
 RECORDED = Path(__file__).with_name("recorded.json")
 
 SUBMISSION = {
-    "id": "run-000412", "lane": "train", "crew": "vision", "shape": "batch", "rank": "urgent", "pieces": 16,
-    "vcpus": 8.0, "gpus": 1.0, "ram_gb": 64.0, "bundle": "img-07", "image_gb": 6.2, "together": True, "apart": False,
-    "loaners": True, "guess_s": 240.0, "marker_s": 30.0, "stow_s": 4.0,
+    "id": "run-000412",
+    "lane": "train",
+    "crew": "vision",
+    "shape": "batch",
+    "rank": "urgent",
+    "pieces": 16,
+    "vcpus": 8.0,
+    "gpus": 1.0,
+    "ram_gb": 64.0,
+    "bundle": "img-07",
+    "image_gb": 6.2,
+    "together": True,
+    "apart": False,
+    "loaners": True,
+    "guess_s": 240.0,
+    "marker_s": 30.0,
+    "stow_s": 4.0,
 }
 
 
@@ -51,9 +65,15 @@
         "hire, answered": ("HireRecord", HireRecord("g8", "a", True, 2, 1_700_000_000_000, ["m-000231", "m-000232"])),
         "return, empty": ("ReturnRecord", ReturnRecord(1_700_000_000_000)),
         "return": ("ReturnRecord", ReturnRecord(1_700_000_000_000, {"m-000231": "idle"}, ["m-000232"])),
-        "types": ("MachineTypes", MachineTypes([
-            MachineType("c1", 16.0, 64.0, 0.7), MachineType("g8", 96.0, 768.0, 12.0, 8.0, 200.0, 2.0, 4.5, 45.0, ["a"]),
-        ])),
+        "types": (
+            "MachineTypes",
+            MachineTypes(
+                [
+                    MachineType("c1", 16.0, 64.0, 0.7),
+                    MachineType("g8", 96.0, 768.0, 12.0, 8.0, 200.0, 2.0, 4.5, 45.0, ["a"]),
+                ]
+            ),
+        ),
         "hint, short": ("Hint", Hint("plank-1", "a", True, {"a": 3})),
         "hint": ("Hint", Hint("plank-1", "a", False, {"a": 3}, [machine], {"a": 41}, True, 3.5, ["run-000412"])),
     }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -16,8 +16,11 @@
 from .world.world import World
 
 ZONES = ["a", "b", "c"]
-TYPES = [MachineType("small", 4.0, 16.0, 1.0, zones=["a"]), MachineType("large", 8.0, 64.0, 2.0, zones=["a", "b"]),
-         MachineType("gpu", 8.0, 64.0, 9.0, gpus=2.0)]
+TYPES = [
+    MachineType("small", 4.0, 16.0, 1.0, zones=["a"]),
+    MachineType("large", 8.0, 64.0, 2.0, zones=["a", "b"]),
+    MachineType("gpu", 8.0, 64.0, 9.0, gpus=2.0),
+]
 
 
 def can_run(job, zones: list[str], limit: Limit) -> bool:  # noqa: ANN001
@@ -26,9 +29,14 @@
     if tasks * job.cpus > limit.cpus or tasks * job.gpus > limit.gpus:
         return False
     fits = {
-        zone for zone in zones for kind in TYPES
-        if (not kind.zones or zone in kind.zones) and (job.types is None or kind.name in job.types)
-        and job.zone in (None, zone) and kind.cpus >= job.cpus and kind.gpus >= job.gpus
+        zone
+        for zone in zones
+        for kind in TYPES
+        if (not kind.zones or zone in kind.zones)
+        and (job.types is None or kind.name in job.types)
+        and job.zone in (None, zone)
+        and kind.cpus >= job.cpus
+        and kind.gpus >= job.gpus
         and kind.memory_gb >= job.memory_gb
     }
     for counts in product(range(tasks + 1), repeat=len(zones)):
@@ -45,13 +53,19 @@
 
 @given(
     st.builds(
-        lambda **more: spec(crew="red", **more), shape=st.sampled_from(["batch", "service", "ensemble"]),
-        pieces=st.integers(1, 5), vcpus=st.sampled_from([1.0, 5.0, 9.0]), gpus=st.sampled_from([0.0, 1.0, 3.0]),
-        ram_gb=st.sampled_from([1.0, 32.0, 100.0]), together=st.booleans(), apart=st.booleans(),
+        lambda **more: spec(crew="red", **more),
+        shape=st.sampled_from(["batch", "service", "ensemble"]),
+        pieces=st.integers(1, 5),
+        vcpus=st.sampled_from([1.0, 5.0, 9.0]),
+        gpus=st.sampled_from([0.0, 1.0, 3.0]),
+        ram_gb=st.sampled_from([1.0, 32.0, 100.0]),
+        together=st.booleans(),
+        apart=st.booleans(),
         yard=st.sampled_from([None, *ZONES, "nowhere"]),
         builds=st.none() | st.lists(st.sampled_from(["small", "large", "gpu", "other"]), max_size=2),
     ),
-    st.integers(1, 3), st.sampled_from([Limit(6.0, 2.0), Limit(20.0, 4.0), Limit(100.0, 0.0)]),
+    st.integers(1, 3),
+    st.sampled_from([Limit(6.0, 2.0), Limit(20.0, 4.0), Limit(100.0, 0.0)]),
 )
 def test_a_job_is_refused_exactly_if_no_split_can_ever_run_it(job, count: int, limit: Limit) -> None:  # noqa: ANN001
     zones = ZONES[:count]
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -105,9 +105,7 @@
     run(play())
 
 
-@pytest.mark.parametrize(
-    "needs", ["run-000001", {"a": 1}, [["run-000001"]], [1], ["train"], ["run-"], [None], 7, True]
-)
+@pytest.mark.parametrize("needs", ["run-000001", {"a": 1}, [["run-000001"]], [1], ["train"], ["run-"], [None], 7, True])
 def test_bad_names_are_malformed_and_harm_nobody(needs) -> None:  # noqa: ANN001
     async def play() -> None:
         world = World(seed=5)
@@ -137,8 +135,13 @@
         assert await world.submit(world.job(2, pieces=1, waits_on=[*many_done, *[first["id"]] * 3000]))
         for name in range(1000, 1200):
             world.state.items[f"cp/wait/run-{name:06d}"] = (
-                {"spec": {k: v for k, v in world.job(name).items() if k != "waits_on"}, "at": 1, "needs": [first["id"]]},
-                1, None,
+                {
+                    "spec": {k: v for k, v in world.job(name).items() if k != "waits_on"},
+                    "at": 1,
+                    "needs": [first["id"]],
+                },
+                1,
+                None,
             )
         open_jobs = [f"run-{name:06d}" for name in range(1000, 1200)]
         assert not await world.submit(world.job(3, pieces=1, waits_on=open_jobs))
@@ -346,10 +349,20 @@
     check(world)
 
 
-@pytest.mark.parametrize("trouble", [
-    None, leader_dies_at_each_end, cancelled_at_the_end, outage_longer_than_a_cancellation, leader_refused, all_restart,
-    late_transactions, limits_fall_while_cancelled,
-], ids=lambda t: getattr(t, "__name__", "no_trouble"))
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        None,
+        leader_dies_at_each_end,
+        cancelled_at_the_end,
+        outage_longer_than_a_cancellation,
+        leader_refused,
+        all_restart,
+        late_transactions,
+        limits_fall_while_cancelled,
+    ],
+    ids=lambda t: getattr(t, "__name__", "no_trouble"),
+)
 @pytest.mark.parametrize("seed", [21, 22])
 def test_chains_hold_in_trouble(trouble, seed: int) -> None:  # noqa: ANN001
     async def play() -> None:
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -75,9 +75,7 @@
 
 def test_not_done(monkeypatch: pytest.MonkeyPatch) -> None:
     real = records.end
-    monkeypatch.setattr(
-        records, "end", lambda ended: real([msgspec.structs.replace(e, done=True) for e in ended])
-    )
+    monkeypatch.setattr(records, "end", lambda ended: real([msgspec.structs.replace(e, done=True) for e in ended]))
     assert "not_done" in broken(cut_holder_off) | broken(stop_all)
 
 
@@ -210,9 +208,7 @@
 
     async def play() -> set[str]:
         world = World(seed=5)
-        monkeypatch.setattr(
-            placer.Placer, "run", lambda self, *more: real(self, *more) if world.now() > 1250 else None
-        )
+        monkeypatch.setattr(placer.Placer, "run", lambda self, *more: real(self, *more) if world.now() > 1250 else None)
         await world.submit(world.job(1))
         await asyncio.sleep(300)
         return set(world.rules.broken)
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -360,7 +360,9 @@
         await world.submit(array)
         while running(world) < 8:
             await asyncio.sleep(1)
-        machine = next(m for m in world.machines.values() if any(t.name.startswith(array["id"]) for t in m.tasks.values()))
+        machine = next(
+            m for m in world.machines.values() if any(t.name.startswith(array["id"]) for t in m.tasks.values())
+        )
         world.mute.add(machine.id)
         world.cloud.down = cloud_down
         began = world.now()
@@ -384,8 +386,16 @@
     async def play() -> None:
         world = World(seed=16, capacity=60, scale=12.0)
         specs = [
-            world.job(n, shape="service", lane="web", rank="prod", loaners=False, pieces=12, vcpus=4.0,
-                      crew="red" if n % 3 else "blue")
+            world.job(
+                n,
+                shape="service",
+                lane="web",
+                rank="prod",
+                loaners=False,
+                pieces=12,
+                vcpus=4.0,
+                crew="red" if n % 3 else "blue",
+            )
             for n in range(9)
         ]
         await asyncio.gather(*(world.submit(s) for s in specs))
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -65,7 +65,7 @@
         if self.make(records.place([Placement(zone + machine, zone, count)], before.next)):
             assert self.record.held() <= before.held()
             assert self.record.placed(zone) <= self.record.allot.get(zone, 0)
-            new = {(n, run.attempt) for run in self.record.runs[len(before.runs):] for n in ranges.numbers(run.tasks)}
+            new = {(n, run.attempt) for run in self.record.runs[len(before.runs) :] for n in ranges.numbers(run.tasks)}
             assert not new & self.attempts  # no attempt number is ever used again
             self.attempts |= new
 
@@ -158,7 +158,9 @@
     for team, most in limit.items():
         # What is lowered frees nothing before it is committed.
         charged = sum(
-            max(held[t.record.id], result[t.record.id]) * t.record.spec.cpus for t in turns if t.record.spec.team == team
+            max(held[t.record.id], result[t.record.id]) * t.record.spec.cpus
+            for t in turns
+            if t.record.spec.team == team
         )
         assert charged <= most.cpus + 1e-6
 
@@ -199,7 +201,10 @@
     ]
     turns = placing.in_order(jobs, {"red": (4.0, 0.0), "blue": (0.0, 0.0)})
     assert [(t.record.id, t.guaranteed) for t in turns] == [
-        ("run-1", True), ("run-3", False), ("run-2", False), ("run-4", False),
+        ("run-1", True),
+        ("run-3", False),
+        ("run-2", False),
+        ("run-4", False),
     ]
 
 
@@ -268,8 +273,11 @@
         """Reports without news are answered without a look at the jobs: a change that did not show was never told."""
         for machine in "xyz":
             views = self.book.jobs.values()
-            state = [(v.id, v.record.phase, v.record.runs_on.get(machine), v.staged.runs_on.get(machine)) for v in views
-                     if machine in v.record.runs_on or machine in v.staged.runs_on]
+            state = [
+                (v.id, v.record.phase, v.record.runs_on.get(machine), v.staged.runs_on.get(machine))
+                for v in views
+                if machine in v.record.runs_on or machine in v.staged.runs_on
+            ]
             number = self.book.touched(machine)  # type: ignore[arg-type]
             if machine in self.seen:
                 assert self.seen[machine][0] != number or self.seen[machine][1] == state
@@ -294,7 +302,9 @@
 
 @given(
     st.lists(st.tuples(st.integers(0, 8), st.integers(0, 8), st.booleans(), st.booleans()), max_size=8),
-    st.lists(st.tuples(st.integers(1, 5), st.integers(1, 5), st.booleans(), st.booleans(), st.integers(1, 6)), max_size=8),
+    st.lists(
+        st.tuples(st.integers(1, 5), st.integers(1, 5), st.booleans(), st.booleans(), st.integers(1, 6)), max_size=8
+    ),
 )
 def test_what_is_remembered_to_lack_room_changes_no_placement(machines: list, jobs: list) -> None:
     """Rounds under a backlog pass over jobs where an easier one found no room."""
@@ -314,6 +324,7 @@
 
 def test_no_job_waits_for_ever_for_its_first_task() -> None:
     """A stream of guaranteed and of small jobs passed a large one again and again."""
+
     def order(waited_ms: int, **more) -> list[str]:  # noqa: ANN003
         large = JobRecord(spec(id="run-1", crew="red", rank="standard", pieces=400, guess_s=90.0), 0, **more)
         small = [JobRecord(spec(id=f"run-{n}", crew="blue", rank="urgent", pieces=1), waited_ms) for n in (2, 3)]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -26,10 +26,18 @@
     max_size=60,
 )
 RECORDS = st.builds(
-    JobRecord, st.just(spec(due_s=12.5)), st.integers(0, 2**45), st.sampled_from(list(Phase)), st.integers(1, 400),
-    st.one_of(st.just([]), TASK_SETS), RUNS, st.dictionaries(st.sampled_from("ab"), st.integers(0, 400)),
-    st.lists(st.builds(Eviction, st.just("m-000001"), st.integers(0, 9), st.integers(0, 2**45), st.integers(1, 9)),
-             max_size=3),
+    JobRecord,
+    st.just(spec(due_s=12.5)),
+    st.integers(0, 2**45),
+    st.sampled_from(list(Phase)),
+    st.integers(1, 400),
+    st.one_of(st.just([]), TASK_SETS),
+    RUNS,
+    st.dictionaries(st.sampled_from("ab"), st.integers(0, 400)),
+    st.lists(
+        st.builds(Eviction, st.just("m-000001"), st.integers(0, 9), st.integers(0, 2**45), st.integers(1, 9)),
+        max_size=3,
+    ),
     st.integers(0, 2**45),
 )
 
@@ -79,7 +87,7 @@
     for step in range(6):
         numbers = data.draw(st.lists(st.integers(0, 999_999), min_size=len(sizes), max_size=len(sizes)))
         placements = [Placement(f"m-{n:06d}", "a", size) for n, size in zip(numbers, sizes, strict=True)]
-        change = place(placements[:max(0, space.runs_left(record))], record.next)
+        change = place(placements[: max(0, space.runs_left(record))], record.next)
         record = change(record) or record
         assert json_size(space.stored(record)) <= LOWEST
         ended = [run for run in record.runs if (run.attempt + run.tasks[0] + step) % 3 == 0]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -296,8 +296,16 @@
         if number % 2:
             del spec[world.random.choice(["crew", "pieces", "vcpus", "rank", "apart", "marker_s"])]
         else:
-            spec |= world.random.choice([{"vcpus": 17.0}, {"gpus": 1.0}, {"builds": ["other"]}, {"crew": "none"},
-                                         {"yard": "nowhere"}, {"shape": "service", "pieces": 60, "vcpus": 2.0}])
+            spec |= world.random.choice(
+                [
+                    {"vcpus": 17.0},
+                    {"gpus": 1.0},
+                    {"builds": ["other"]},
+                    {"crew": "none"},
+                    {"yard": "nowhere"},
+                    {"shape": "service", "pieces": 60, "vcpus": 2.0},
+                ]
+            )
         expected = 400 if number % 2 else 422
         for _ in range(20):
             status, _ = await world.ask("POST", "/api/jobs", spec)
@@ -310,11 +318,26 @@
 
 
 MEETINGS = [
-    all_away_longer_than_a_lease, alone_with_workers_and_users, small_jobs_end_far_apart,
-    old_reports_of_former_sessions, transactions_come_late, team_at_its_limit, long_tasks_out_of_reach,
-    called_off_at_the_end, the_gap, more_work_than_room, machines_mute, slow_then_refused_then_down, commands_held_up,
-    reports_held_back, ten_leaders_in_two_minutes, zone_bound_jobs_lose_machines, handed_over_and_back,
-    a_zone_cut_off, called_off_in_a_burst_with_hung_machines, odd_requests,
+    all_away_longer_than_a_lease,
+    alone_with_workers_and_users,
+    small_jobs_end_far_apart,
+    old_reports_of_former_sessions,
+    transactions_come_late,
+    team_at_its_limit,
+    long_tasks_out_of_reach,
+    called_off_at_the_end,
+    the_gap,
+    more_work_than_room,
+    machines_mute,
+    slow_then_refused_then_down,
+    commands_held_up,
+    reports_held_back,
+    ten_leaders_in_two_minutes,
+    zone_bound_jobs_lose_machines,
+    handed_over_and_back,
+    a_zone_cut_off,
+    called_off_in_a_burst_with_hung_machines,
+    odd_requests,
 ]
 
 
@@ -322,8 +345,9 @@
     async def work() -> World:
         world = World(seed=seed, zones=zones)
         crowded = meeting in (more_work_than_room, team_at_its_limit)
-        await day(world, meeting, seconds=140 if meeting is ten_leaders_in_two_minutes else 110,
-                  jobs=26 if crowded else 14)
+        await day(
+            world, meeting, seconds=140 if meeting is ten_leaders_in_two_minutes else 110, jobs=26 if crowded else 14
+        )
         return world
 
     return run(work())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -95,7 +95,11 @@
 
 
 @settings(max_examples=80)
-@given(st.lists(st.binary(max_size=60) | st.sampled_from([b"GET / HTTP/1.1\r\n", b"\r\n\r\n", post("/a", b"x")]), max_size=6))
+@given(
+    st.lists(
+        st.binary(max_size=60) | st.sampled_from([b"GET / HTTP/1.1\r\n", b"\r\n\r\n", post("/a", b"x")]), max_size=6
+    )
+)
 def test_garbage_ends_in_an_answer_or_a_close(parts: list[bytes]) -> None:
     data, closed, _ = talk(*parts)
     assert closed and (not data or data.startswith(b"HTTP/1.1 "))
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -30,7 +30,9 @@
     def __init__(self) -> None:
         self.asked: list[float] = []
 
-    async def request(self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0) -> Response:
+    async def request(
+        self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> Response:
         self.asked.append(asyncio.get_running_loop().time())
         await asyncio.sleep(0.005)
         return answer(200, CommitAnswer(len(self.asked)))
@@ -121,7 +123,9 @@
 class TooLarge(Service):
     """Calls every job record too large, and carries out everything else."""
 
-    async def request(self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0) -> Response:
+    async def request(
+        self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> Response:
         if body is not None and b"cp/job/" in body:
             self.asked.append(asyncio.get_running_loop().time())
             return answer(400)
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -69,7 +69,9 @@
     headroom = Headroom({"web"}, 1.0, 2.0)
     assert headroom.turns(WallMs(0)) == []
     for number, image in enumerate(["x", "x", "x", "y"]):
-        headroom.saw(JobRecord(spec(id=f"run-{number}", lane="web", shape="service", pieces=2, bundle=image), number * 1000))
+        headroom.saw(
+            JobRecord(spec(id=f"run-{number}", lane="web", shape="service", pieces=2, bundle=image), number * 1000)
+        )
     turns = headroom.turns(WallMs(4_000))
     assert {t.record.spec.image: t.record.spec.tasks for t in turns} == {"x": 3, "y": 1}
     assert all(t.headroom for t in turns)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,8 +16,12 @@
 from .world.world import PEER, SETTINGS, TEAM
 
 GOOD = SETTINGS.format(
-    label="c-0", zone="a", zones='["a"]', peers=PEER.format(label="c-1", zone="a", number=2),
-    teams=TEAM.format(name="red", cpus=1.0, most=2.0), coming="",
+    label="c-0",
+    zone="a",
+    zones='["a"]',
+    peers=PEER.format(label="c-1", zone="a", number=2),
+    teams=TEAM.format(name="red", cpus=1.0, most=2.0),
+    coming="",
 )
 
 
@@ -25,12 +29,20 @@
     assert parse_platform("tomorrow = 1\n" + GOOD + "\n[facts.more]\nx = 1\n").label == "c-0"
 
 
-@pytest.mark.parametrize("old, new, named", [
-    ('label = "c-0"', "", "label"), ('front = "10.0.0.1:8080"', 'front = "here:80"', "front"),
-    ("lease_s = 8.0", "lease_s = 0.0", "lease_s"), ("cancel_s = 30.0", "cancel_s = 5.0", "cancel_s"),
-    ("txn_ops = 12", 'txn_ops = "many"', "txn_ops"), ('label = "c-1"', 'label = "c-0"', "label"),
-    ("cpus = 1.0", "cpus = 9.0", "red"), ("rps = 300.0", "rps = -1.0", "rps"), ("[facts]", "[facts", "TOML"),
-])
+@pytest.mark.parametrize(
+    "old, new, named",
+    [
+        ('label = "c-0"', "", "label"),
+        ('front = "10.0.0.1:8080"', 'front = "here:80"', "front"),
+        ("lease_s = 8.0", "lease_s = 0.0", "lease_s"),
+        ("cancel_s = 30.0", "cancel_s = 5.0", "cancel_s"),
+        ("txn_ops = 12", 'txn_ops = "many"', "txn_ops"),
+        ('label = "c-1"', 'label = "c-0"', "label"),
+        ("cpus = 1.0", "cpus = 9.0", "red"),
+        ("rps = 300.0", "rps = -1.0", "rps"),
+        ("[facts]", "[facts", "TOML"),
+    ],
+)
 def test_a_bad_field_is_named_in_one_line(old: str, new: str, named: str) -> None:
     with pytest.raises(BadSettings) as caught:
         parse_platform(GOOD.replace(old, new, 1))
@@ -81,8 +93,12 @@
     run = CliRunner().invoke
     assert run(main, ["check", "--config", str(good)]).exit_code == 0
     for arguments in (
-        ["check", "--config", str(bad)], ["--config", str(bad)], ["serve", "--config", str(tmp_path / "none")],
-        ["show", "--controller", "127.0.0.1:1", "job"], ["show", "--controller", "nowhere", "run-1"], ["no-such"],
+        ["check", "--config", str(bad)],
+        ["--config", str(bad)],
+        ["serve", "--config", str(tmp_path / "none")],
+        ["show", "--controller", "127.0.0.1:1", "job"],
+        ["show", "--controller", "nowhere", "run-1"],
+        ["no-such"],
         ["submit", "--controller", "127.0.0.1:1", str(job)],
     ):
         result = run(main, arguments)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,13 +13,40 @@
 from cloverplank.wire.codec import BadMessage, decode, encode
 
 GOOD = {
-    "id": "run-000412", "lane": "train", "crew": "vision", "shape": "batch", "rank": "urgent", "pieces": 16,
-    "vcpus": 8.0, "gpus": 1.0, "ram_gb": 64.0, "bundle": "img-07", "image_gb": 6.2, "builds": ["g8"], "yard": None,
-    "together": True, "apart": False, "loaners": True, "guess_s": 240.0, "marker_s": 30.0, "stow_s": 4.0, "due_s": 900.0,
+    "id": "run-000412",
+    "lane": "train",
+    "crew": "vision",
+    "shape": "batch",
+    "rank": "urgent",
+    "pieces": 16,
+    "vcpus": 8.0,
+    "gpus": 1.0,
+    "ram_gb": 64.0,
+    "bundle": "img-07",
+    "image_gb": 6.2,
+    "builds": ["g8"],
+    "yard": None,
+    "together": True,
+    "apart": False,
+    "loaners": True,
+    "guess_s": 240.0,
+    "marker_s": 30.0,
+    "stow_s": 4.0,
+    "due_s": 900.0,
 }
 DECODED = [
-    users.JobSpec, workers.Report, workers.ReportAnswer, cloud.MachineTypes, cloud.MachineList, cloud.RentAnswer,
-    statesvc.Rows, statesvc.Row, statesvc.Changes, statesvc.CommitAnswer, statesvc.Lease, peers.Hint,
+    users.JobSpec,
+    workers.Report,
+    workers.ReportAnswer,
+    cloud.MachineTypes,
+    cloud.MachineList,
+    cloud.RentAnswer,
+    statesvc.Rows,
+    statesvc.Row,
+    statesvc.Changes,
+    statesvc.CommitAnswer,
+    statesvc.Lease,
+    peers.Hint,
 ]
 anything = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(max_size=5),
@@ -40,12 +67,32 @@
         users.decode_submission(encode({k: v for k, v in GOOD.items() if k != name}))
 
 
-@pytest.mark.parametrize("change", [
-    {"id": "run-"}, {"id": "job-1"}, {"id": "run-1/2"}, {"id": "run-1 "}, {"id": 7}, {"pieces": 0}, {"pieces": -1},
-    {"pieces": 100_001}, {"pieces": 1.5}, {"pieces": True}, {"vcpus": -1.0}, {"vcpus": math.nan},
-    {"ram_gb": math.inf}, {"due_s": -5.0}, {"guess_s": "long"}, {"shape": "heap"}, {"rank": "high"},
-    {"builds": "g8"}, {"together": 1}, {"vcpus": 0.0, "gpus": 0.0, "ram_gb": 0.0}, {"crew": ""},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"id": "run-"},
+        {"id": "job-1"},
+        {"id": "run-1/2"},
+        {"id": "run-1 "},
+        {"id": 7},
+        {"pieces": 0},
+        {"pieces": -1},
+        {"pieces": 100_001},
+        {"pieces": 1.5},
+        {"pieces": True},
+        {"vcpus": -1.0},
+        {"vcpus": math.nan},
+        {"ram_gb": math.inf},
+        {"due_s": -5.0},
+        {"guess_s": "long"},
+        {"shape": "heap"},
+        {"rank": "high"},
+        {"builds": "g8"},
+        {"together": 1},
+        {"vcpus": 0.0, "gpus": 0.0, "ram_gb": 0.0},
+        {"crew": ""},
+    ],
+)
 def test_wrong_fields_are_malformed(change: dict) -> None:
     with pytest.raises(BadMessage):
         users.decode_submission(encode(GOOD | change))
@@ -70,20 +117,34 @@
     assert spec.tasks <= users.MAX_TASKS and math.isfinite(spec.cpus)
 
 
-@given(st.builds(
-    workers.Report, machine=st.text(min_size=1, max_size=20), session=st.integers(0, 2**62), seq=st.integers(0, 2**62),
-    token=st.integers(0, 2**62), tasks=st.lists(st.builds(
-        workers.ReportedTask, task=st.text(max_size=10), attempt=st.integers(0, 99), state=st.text(max_size=8)), max_size=3),
-))
+@given(
+    st.builds(
+        workers.Report,
+        machine=st.text(min_size=1, max_size=20),
+        session=st.integers(0, 2**62),
+        seq=st.integers(0, 2**62),
+        token=st.integers(0, 2**62),
+        tasks=st.lists(
+            st.builds(
+                workers.ReportedTask, task=st.text(max_size=10), attempt=st.integers(0, 99), state=st.text(max_size=8)
+            ),
+            max_size=3,
+        ),
+    )
+)
 def test_reports_round_trip(report: workers.Report) -> None:
     assert decode(encode(report), workers.Report) == report
 
 
 def test_orders_are_named_as_the_protocol_names_them() -> None:
     answer = workers.ReportAnswer(41, [workers.Order("stop", "run-1/0", 2, 10.0), workers.Order("reap", "run-1/1", 1)])
-    assert msgspec.msgpack.decode(encode(answer)) == {"baton": 41, "orders": [
-        {"verb": "stop", "piece": "run-1/0", "try": 2, "leeway_s": 10.0}, {"verb": "reap", "piece": "run-1/1", "try": 1},
-    ]}
+    assert msgspec.msgpack.decode(encode(answer)) == {
+        "baton": 41,
+        "orders": [
+            {"verb": "stop", "piece": "run-1/0", "try": 2, "leeway_s": 10.0},
+            {"verb": "reap", "piece": "run-1/1", "try": 1},
+        ],
+    }
 
 
 def test_a_commit_is_named_as_the_protocol_names_it() -> None:
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -169,10 +169,23 @@
 
 
 TROUBLES = [
-    None, crash_holder, crash_all, state_down, shut_out_in_outage, cut_holder_off, cut_from_workers,
-    cut_from_state, machines_hang, spot_wave_cloud_down, machines_die,
-    machines_deaf, machines_deaf_cloud_down, late_copies, only_workers,
-    alone_with_its_workers, back_at_once,
+    None,
+    crash_holder,
+    crash_all,
+    state_down,
+    shut_out_in_outage,
+    cut_holder_off,
+    cut_from_workers,
+    cut_from_state,
+    machines_hang,
+    spot_wave_cloud_down,
+    machines_die,
+    machines_deaf,
+    machines_deaf_cloud_down,
+    late_copies,
+    only_workers,
+    alone_with_its_workers,
+    back_at_once,
 ]
 
 
@@ -235,8 +248,16 @@
     async def play() -> tuple[int, int]:
         world = World(seed=20, capacity=400, scale=60.0)
         specs = [
-            world.job(n, shape="service", lane="web", rank="prod", loaners=False, pieces=18, vcpus=4.0,
-                      crew="red" if n % 3 else "blue")
+            world.job(
+                n,
+                shape="service",
+                lane="web",
+                rank="prod",
+                loaners=False,
+                pieces=18,
+                vcpus=4.0,
+                crew="red" if n % 3 else "blue",
+            )
             for n in range(44)
         ]
         await asyncio.gather(*(world.submit(s) for s in specs))
--- a/tests/world/day.py
+++ b/tests/world/day.py
@@ -19,11 +19,17 @@
     for number in range(jobs):
         service = number % 4 == 3
         spec = world.job(
-            number, crew="red" if number % 3 else "blue", pieces=world.random.randint(1, 7),
-            shape="service" if service else "batch", loaners=not service, lane="web" if service else "nightly",
+            number,
+            crew="red" if number % 3 else "blue",
+            pieces=world.random.randint(1, 7),
+            shape="service" if service else "batch",
+            loaners=not service,
+            lane="web" if service else "nightly",
             rank="prod" if service else world.random.choice(["urgent", "standard"]),
-            apart=number % 5 == 0 and len(world.zones) > 1, together=number % 5 == 1,
-            marker_s=5.0 if number % 2 else 0.0, stow_s=1.0 if number % 2 else 0.0,
+            apart=number % 5 == 0 and len(world.zones) > 1,
+            together=number % 5 == 1,
+            marker_s=5.0 if number % 2 else 0.0,
+            stow_s=1.0 if number % 2 else 0.0,
             vcpus=world.random.choice([1.0, 2.0, 4.0]) if not service else 2.0,
         )
         cancel = world.random.uniform(5, 40) if service or number % 6 == 2 else None
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -39,7 +39,9 @@
         spec = world.jobs[job]
         zones = Counter(
             world.machines[m].zone
-            for n, ms in self.where.items() if n != name and n.rsplit("/", 1)[0] == job for m in ms
+            for n, ms in self.where.items()
+            if n != name and n.rsplit("/", 1)[0] == job
+            for m in ms
         )
         wrong = (
             (spec["builds"] is not None and machine.type not in spec["builds"])
@@ -82,7 +84,12 @@
                         self.breach("ran_cancelled", f"{name} still on {machines}")
 
     def answered(
-        self, job: str, status: int, state: str | None, before: str | None = None, submitting: bool = False,
+        self,
+        job: str,
+        status: int,
+        state: str | None,
+        before: str | None = None,
+        submitting: bool = False,
         asked_at: float | None = None,
     ) -> None:
         """A user was given an answer. `before`: the last final word when the question was sent; what others were told
--- a/tests/world/services.py
+++ b/tests/world/services.py
@@ -156,10 +156,30 @@
 
 class Cloud:
     TYPES = (
-        {"sku": "small", "vcpus": 8.0, "gpus": 0.0, "ram_gb": 32.0, "local_gb": 40.0, "pull_gb_per_s": 1.0,
-         "rate": 1.0, "spot_price": 0.3, "ready_s": 5.0, "yards": []},
-        {"sku": "large", "vcpus": 16.0, "gpus": 0.0, "ram_gb": 128.0, "local_gb": 40.0, "pull_gb_per_s": 1.0,
-         "rate": 2.2, "spot_price": 0.7, "ready_s": 8.0, "yards": []},
+        {
+            "sku": "small",
+            "vcpus": 8.0,
+            "gpus": 0.0,
+            "ram_gb": 32.0,
+            "local_gb": 40.0,
+            "pull_gb_per_s": 1.0,
+            "rate": 1.0,
+            "spot_price": 0.3,
+            "ready_s": 5.0,
+            "yards": [],
+        },
+        {
+            "sku": "large",
+            "vcpus": 16.0,
+            "gpus": 0.0,
+            "ram_gb": 128.0,
+            "local_gb": 40.0,
+            "pull_gb_per_s": 1.0,
+            "rate": 2.2,
+            "spot_price": 0.7,
+            "ready_s": 8.0,
+            "yards": [],
+        },
     )
 
     def __init__(self, world) -> None:
@@ -177,10 +197,19 @@
     def snapshot(self) -> None:
         now = self.world.now()
         rows = [
-            {"id": m.id, "endpoint": m.addr, "build": m.type, "yard": m.zone, "loaners": m.spot,
-             "status": "failed" if m.dead_at and now - m.dead_at > 30 else ("running" if m.up_at <= now else "booting"),
-             "held_s": now - m.born}
-            for m in sorted(self.rented(), key=lambda m: m.id) if not m.taken
+            {
+                "id": m.id,
+                "endpoint": m.addr,
+                "build": m.type,
+                "yard": m.zone,
+                "loaners": m.spot,
+                "status": "failed"
+                if m.dead_at and now - m.dead_at > 30
+                else ("running" if m.up_at <= now else "booting"),
+                "held_s": now - m.born,
+            }
+            for m in sorted(self.rented(), key=lambda m: m.id)
+            if not m.taken
         ]
         self.history.append((now, rows))
         self.history = self.history[-60:]
--- a/tests/world/worker.py
+++ b/tests/world/worker.py
@@ -106,8 +106,14 @@
         self.tally += 1
         now = self.world.now()
         return {
-            "plank": self.id, "endpoint": self.addr, "build": self.type, "yard": self.zone, "loaners": self.spot,
-            "stint": self.stint, "tally": self.tally, "baton": self.baton,
+            "plank": self.id,
+            "endpoint": self.addr,
+            "build": self.type,
+            "yard": self.zone,
+            "loaners": self.spot,
+            "stint": self.stint,
+            "tally": self.tally,
+            "baton": self.baton,
             "warning_s": None if self.warning_until is None else max(0.0, self.warning_until - now),
             "pieces": [
                 {"piece": t.name, "try": t.attempt, "status": t.status}
@@ -178,8 +184,12 @@
             pause = 1.0
             try:
                 response = await world.send(
-                    self.id, f"front:{world.labels[self.node]}", "POST", "/v1/report",
-                    msgspec.msgpack.encode(self.report()), 4.0,
+                    self.id,
+                    f"front:{world.labels[self.node]}",
+                    "POST",
+                    "/v1/report",
+                    msgspec.msgpack.encode(self.report()),
+                    4.0,
                 )
                 if self.hung or not self.alive:
                     continue
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -66,8 +66,14 @@
     report_s, lease_s, cancel_s, list_lag_s = 2.0, 8.0, 30.0, 3.0
 
     def __init__(
-        self, seed: int, zones: int = 1, noise: float = 0.0, capacity: int = 6, scale: float = 1.0,
-        coming_limits: bool = False, old: tuple[str, ...] = (),
+        self,
+        seed: int,
+        zones: int = 1,
+        noise: float = 0.0,
+        capacity: int = 6,
+        scale: float = 1.0,
+        coming_limits: bool = False,
+        old: tuple[str, ...] = (),
     ) -> None:
         """`coming_limits`: the settings say that the state service will have lower ones. `old`: controllers that
         begin as production's version."""
@@ -131,13 +137,18 @@
     def start(self, label: str) -> None:
         peers = "".join(
             PEER.format(label=other, zone=self.home[other], number=n + 1)
-            for n, other in enumerate(self.labels) if other != label
+            for n, other in enumerate(self.labels)
+            if other != label
         )
         teams = "".join(TEAM.format(name=n, cpus=m / 2, most=m) for n, m in self.limits.items())
         zones = "[" + ", ".join(f'"{z}"' for z in self.zones) + "]"
         platform = parse_platform(
             SETTINGS.format(
-                label=label, zone=self.home[label], peers=peers, zones=zones, teams=teams,
+                label=label,
+                zone=self.home[label],
+                peers=peers,
+                zones=zones,
+                teams=teams,
                 coming=COMING if self.coming_limits else "",
             )
         )
@@ -174,7 +185,13 @@
         name = f"m-{number:06d}"
         ready = next(t["ready_s"] for t in Cloud.TYPES if t["sku"] == type_name)
         machine = Machine(
-            self, name, f"10.1.0.{number}:9000", type_name, zone, spot, self.now(),
+            self,
+            name,
+            f"10.1.0.{number}:9000",
+            type_name,
+            zone,
+            spot,
+            self.now(),
             self.now() + ready * self.random.uniform(0.6, 1.5),
         )
         self.machines[name] = machine
@@ -321,10 +338,26 @@
 
     def job(self, number: int, **more) -> dict:  # noqa: ANN003
         spec = {
-            "id": f"run-{number:06d}", "lane": "nightly", "crew": "red", "shape": "batch", "rank": "standard",
-            "pieces": 4, "vcpus": 2.0, "gpus": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 0.3,
-            "builds": None, "yard": None, "together": False, "apart": False, "loaners": True, "guess_s": 5.0,
-            "marker_s": 0.0, "stow_s": 0.0, "due_s": None,
+            "id": f"run-{number:06d}",
+            "lane": "nightly",
+            "crew": "red",
+            "shape": "batch",
+            "rank": "standard",
+            "pieces": 4,
+            "vcpus": 2.0,
+            "gpus": 0.0,
+            "ram_gb": 4.0,
+            "bundle": "img",
+            "image_gb": 0.3,
+            "builds": None,
+            "yard": None,
+            "together": False,
+            "apart": False,
+            "loaners": True,
+            "guess_s": 5.0,
+            "marker_s": 0.0,
+            "stow_s": 0.0,
+            "due_s": None,
         } | more
         self.jobs[spec["id"]] = spec
         self.durations[spec["id"]] = self.random.uniform(1.0, 10.0)
@@ -345,9 +378,7 @@
         """Asks about a job and has the answer checked."""
         before, asked_at = self.rules.told.get(job), self.now()
         status, value = await self.ask(method, path, body, label)
-        self.rules.answered(
-            job, status, value.get("status"), before, submitting=path == "/api/jobs", asked_at=asked_at
-        )
+        self.rules.answered(job, status, value.get("status"), before, submitting=path == "/api/jobs", asked_at=asked_at)
         return status, value.get("status")
 
     async def submit(self, spec: dict) -> bool:
@@ -472,9 +503,7 @@
 
     def _held_up(self, job: str) -> bool:
         """It waits for a job that is not done, or that was cancelled."""
-        return any(
-            not self.all_done(other) or other in self.rules.cancelled_at for other in self.all_upstream(job)
-        )
+        return any(not self.all_done(other) or other in self.rules.cancelled_at for other in self.all_upstream(job))
 
     def limits_fall(self) -> None:
         """The state service takes the lower limits without notice."""
@@ -484,7 +513,8 @@
         """Cpus that the tasks of a team are on."""
         return sum(
             self.jobs[name.rsplit("/", 1)[0]]["vcpus"] * len(machines)
-            for name, machines in self.rules.where.items() if self.jobs[name.rsplit("/", 1)[0]]["crew"] == team
+            for name, machines in self.rules.where.items()
+            if self.jobs[name.rsplit("/", 1)[0]]["crew"] == team
         )
 
     def _served(self, job: str) -> bool:
