--- a/src/cloverplank/jobs/waiting.py
+++ b/src/cloverplank/jobs/waiting.py
@@ -31,7 +31,7 @@
         self.jobs: dict[JobId, WaitingJob] = {}
         self.version = 0  # another number after each change of the set of waiting jobs
         self.changed: Callable[[], None] = lambda: None
-        self._dependents: dict[JobId, set[JobId]] = {}
+        self._dependents: dict[JobId, dict[JobId, None]] = {}  # in the order of their news
         self._news: dict[JobId, None] = {}
 
     def get(self, job: JobId) -> WaitingJob | None:
@@ -50,7 +50,7 @@
             self._unindex(known)
         waiting = self.jobs[job] = WaitingJob(job, record, stamp)
         for upstream in waiting.upstream:
-            self._dependents.setdefault(upstream, set()).add(job)
+            self._dependents.setdefault(upstream, {})[job] = None
         self.version += 1
         self.look_again(job)
 
@@ -68,7 +68,7 @@
         for upstream in known.upstream:
             dependents = self._dependents.get(upstream)
             if dependents is not None:
-                dependents.discard(known.id)
+                dependents.pop(known.id, None)
                 if not dependents:
                     del self._dependents[upstream]
 
