--- a/src/cloverplank/api/answers.py
+++ b/src/cloverplank/api/answers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from cloverplank.basic_types import JobId
 from cloverplank.jobs import ranges
 from cloverplank.jobs.records import JobRecord, Phase
 from cloverplank.jobs.waiting import WaitingJob
-from cloverplank.kinds import JobId
 from cloverplank.net.messages import Response, answer
 from cloverplank.wire.users import ErrorAnswer, JobAnswer
 
--- a/src/cloverplank/api/submission.py
+++ b/src/cloverplank/api/submission.py
@@ -8,11 +8,11 @@
 
 from msgspec import Struct
 
+from cloverplank.basic_types import Clock, JobId
 from cloverplank.jobs.admission import refusal
 from cloverplank.jobs.dependencies import UpstreamState, Verdict, decide
 from cloverplank.jobs.limits import Limit
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
-from cloverplank.kinds import Clock, JobId
 from cloverplank.net.messages import Response, answer
 from cloverplank.state import keys
 from cloverplank.state.client import StateClient, Unknown
@@ -174,7 +174,7 @@
                 raise Refusal(422, f"waits_on: {job} was never accepted")
 
     def _check_no_service(self, job: JobId) -> None:
-        view = self._mirror.book.get(job)
+        view = self._mirror.store.get(job)
         if view is not None and view.record.spec.service:
             raise Refusal(422, f"waits_on: {job} is a service and never done")
 
--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -6,11 +6,11 @@
 import logging
 from collections.abc import Callable
 
+from cloverplank.basic_types import Clock, JobId
 from cloverplank.jobs import dependencies, records
-from cloverplank.jobs.book import Pending
 from cloverplank.jobs.records import JobRecord, Phase
+from cloverplank.jobs.store import Pending
 from cloverplank.jobs.waiting import WaitingJob
-from cloverplank.kinds import Clock, JobId
 from cloverplank.net.messages import Request, Response, answer
 from cloverplank.state import transitions
 from cloverplank.state.client import Lost, Refused, StateClient, Unknown
@@ -135,7 +135,7 @@
             return await self._cancel_waiting(found)
         if found.phase is Phase.CANCELLED:
             return True
-        view = self._mirror.book.get(job)
+        view = self._mirror.store.get(job)
         if view is None:
             return False
         pending = Pending(records.cancel(), int(Urgency.CANCEL), self._clock.mono())
--- a/src/cloverplank/kinds.py
+++ b/src/cloverplank/basic_types.py
@@ -14,7 +14,7 @@
 
 Stamp = NewType("Stamp", int)  # version of one key of the state service; 0: no such key
 Epoch = NewType("Epoch", int)  # revision of the whole state service
-Baton = NewType("Baton", int)  # token of a block: the stamp of its grant
+FencingToken = NewType("FencingToken", int)  # token of a block: the stamp of its grant
 Attempt = NewType("Attempt", int)
 LeaseId = NewType("LeaseId", int)
 
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -12,6 +12,7 @@
 
 from cloverplank.api.submission import Submissions
 from cloverplank.api.users import JOBS_PATH, Users
+from cloverplank.basic_types import Clock, FencingToken, JobId, Mono, NodeId, Zone
 from cloverplank.fleet.cloud import Cloud, CloudDown
 from cloverplank.fleet.dependency_sweep import DependencySweep
 from cloverplank.fleet.errors import Deposed, Unanswered
@@ -20,13 +21,12 @@
 from cloverplank.fleet.machines import Health
 from cloverplank.fleet.returning import Returning, is_return
 from cloverplank.fleet.roster import Roster
-from cloverplank.jobs.book import Book, JobView
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit
 from cloverplank.jobs.placing import Targets, Turn, in_order
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Phase
-from cloverplank.kinds import Baton, Clock, JobId, Mono, NodeId, Zone
+from cloverplank.jobs.store import CachedJob, JobStore
 from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform, contact_bound
@@ -56,7 +56,7 @@
 HINT_IMAGES = 12  # the latest used, of each machine
 MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
 MAX_CANCELLED, TELL_CANCELLED_S = 500, 3.0  # cancellations in one hint, and for how long each is told again
-SHY_S = 20.0
+DECLINE_GRANTS_S = 20.0
 REINSTATE_S = 0.1  # contact must be later than a deposition by this much before it is taken back
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
 LEADER_WEIGHT, HOLDER_WEIGHT = 2.0, 2.0
@@ -86,8 +86,8 @@
             Budget(state_limits.rps / count, clock),
             Budget(state_limits.write_rps / count, clock, least=4.0),
         )
-        self.book = Book()
-        self.mirror = Mirror(self.client, self.book, clock, max(LEAST_GAP_S, count / (WATCH_PART * state_limits.rps)))
+        self.store = JobStore()
+        self.mirror = Mirror(self.client, self.store, clock, max(LEAST_GAP_S, count / (WATCH_PART * state_limits.rps)))
         space = RecordSpace(
             int(facts.state.value_kb * BYTES_A_KB),
             int(state_limits.value_kb * BYTES_A_KB),
@@ -126,7 +126,7 @@
         self.guarantees = {t.name: (t.cpus, t.gpus) for t in facts.teams}
         self.most_cpus = {t.name: t.cpus_max for t in facts.teams}
         self.blocks: dict[Zone, Block] = {}
-        self._bumped: dict[Zone, Baton] = {}
+        self._bumped: dict[Zone, FencingToken] = {}
         # Grants to others by their leases, with the time at which each was last seen to stand.
         self._former: dict[Zone, dict[int, tuple[NodeId, Mono]]] = {z: {} for z in self.zones}
         self._began = clock.mono()
@@ -145,7 +145,7 @@
         self.targets = Targets(within, operator.patience, self.mirror.claims.of)
         self._types: dict[str, MachineType] = {}
         self._heard: dict[str, dict[str, Mono]] = {z: {} for z in self.zones}
-        self._kicked = asyncio.Event()
+        self._round_requested = asyncio.Event()
         self._noted_at = Mono(-1e9)
         self._cancellations: dict[JobId, Mono] = {}  # committed here lately, told to the peers
         self._telling = False
@@ -179,14 +179,14 @@
             space.lowest_value_bytes,
         )
         self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, workers.cancel_s)
-        self.book.changed = self._job_changed
-        self.book.fresh_at = lambda: self.mirror.fresh_at
+        self.store.changed = self._job_changed
+        self.store.fresh_at = lambda: self.mirror.fresh_at
         self.users.cancelled = self._cancelled
         self.mirror.changed = self._key_changed
-        self.session.changed = self.kick
+        self.session.changed = self.request_round
 
-    def kick(self) -> None:
-        self._kicked.set()
+    def request_round(self) -> None:
+        self._round_requested.set()
 
     def _spawn(self, work) -> None:  # noqa: ANN001
         task = asyncio.ensure_future(work)
@@ -195,12 +195,12 @@
 
     # -- news
 
-    def _job_changed(self, view: JobView | None, job: JobId) -> None:
+    def _job_changed(self, view: CachedJob | None, job: JobId) -> None:
         if view is not None:
             self.headroom.saw(view.record)
             for block in self.blocks.values():
                 block.job_changed(view)
-        self.kick()
+        self.request_round()
 
     def _key_changed(self, key: str) -> None:
         if key == keys.TYPES:
@@ -212,7 +212,7 @@
                 self.roster.release(name)
                 for block in self.blocks.values():
                     block.released(name)
-        self.kick()
+        self.request_round()
 
     def _cancelled(self, job: JobId) -> None:
         """A cancellation that was committed here: a holder that the state service refuses can learn of it from us
@@ -242,8 +242,8 @@
             not self.client.down(1.0),
             {zone: len(heard) for zone, heard in self._heard.items()},
             [],
-            {zone: block.baton for zone, block in self.blocks.items() if not block.deposed},
-            now < self.session.shy_until,
+            {zone: block.token for zone, block in self.blocks.items() if not block.deposed},
+            now < self.session.declines_grants_until,
             self.queue.need(),
             [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
         )
@@ -295,13 +295,13 @@
             if standing is Standing.OUT:
                 return answer(503, ErrorAnswer("out of touch"), Retry_After="1")
             grant = self.session.grant(zone)  # None: the lease is gone for certain, and the block with it
-            if grant is not None and grant in (block.baton, self._bumped.get(zone)):
+            if grant is not None and grant in (block.token, self._bumped.get(zone)):
                 try:
                     return answer(200, block.on_report(report))
                 except Unanswered as err:
                     return answer(503, ErrorAnswer(str(err)), Retry_After="1")
                 except Deposed:
-                    self.kick()
+                    self.request_round()
                     return answer(421, Redirect())
         holder = self._holder_by_hint(zone) or self.session.holder(zone)
         if holder is None or holder == self.me or self._deaf(holder, zone):
@@ -327,7 +327,7 @@
     def _deaf(self, node: NodeId, zone: Zone) -> bool:
         """By its own word it holds the block and hears nobody: no use to send workers there."""
         hint, at = self.peers.get(node, (None, Mono(-1e9)))
-        return hint is not None and self._clock.mono() - at < 4.0 and hint.shy
+        return hint is not None and self._clock.mono() - at < 4.0 and hint.declines_grants
 
     async def peer(self, request: Request) -> Response:
         if request.path != HINT_PATH:
@@ -344,7 +344,7 @@
         self.peers[NodeId(hint.node)] = (hint, now)
         for job in hint.cancelled[:MAX_CANCELLED]:
             if valid_job_id(job):
-                self.book.call_off(JobId(job), now)
+                self.store.hint_cancelled(JobId(job), now)
         for machine in hint.machines[:5000]:
             if self.session.holder(machine.zone) == hint.node:
                 self.roster.hinted(machine)
@@ -354,19 +354,19 @@
 
     def _update_blocks(self) -> None:
         for zone in self.zones:
-            baton = self.session.grant(zone)
+            token = self.session.grant(zone)
             block = self.blocks.get(zone)
-            if block is not None and baton != block.baton:
-                if baton is not None and self._bumped.get(zone) == baton:
-                    block.rebaton(baton)
+            if block is not None and token != block.token:
+                if token is not None and self._bumped.get(zone) == token:
+                    block.renew_token(token)
                 else:
-                    log.info("block %s: let go, baton was %d", zone, block.baton)
+                    log.info("block %s: let go, token was %d", zone, block.token)
                     block.close()
                     del self.blocks[zone]
                     block = None
             # Without all that former holders committed, their tasks would look like strays.
-            if block is None and baton is not None and self.mirror.revision >= baton:
-                self._take_block(zone, baton)
+            if block is None and token is not None and self.mirror.revision >= token:
+                self._take_block(zone, token)
 
     def _watch_former(self) -> None:
         """A controller that joined anew has ended its former process, or let its grant go: either way
@@ -391,13 +391,13 @@
             ):
                 block.former_gone()
 
-    def _take_block(self, zone: Zone, baton: Baton) -> None:
-        log.info("block %s: taken, baton %d", zone, baton)
+    def _take_block(self, zone: Zone, token: FencingToken) -> None:
+        log.info("block %s: taken, token %d", zone, token)
         block = Block(
             zone,
-            baton,
+            token,
             self._clock,
-            self.book,
+            self.store,
             self.mirror,
             self.queue,
             self._http,
@@ -405,7 +405,7 @@
             lambda: self._types,
             self.returning,
             lambda: self.session.check() is Standing.MEMBER and zone in self.blocks,
-            self.kick,
+            self.request_round,
         )
         self.blocks[zone] = block
         for known in self.roster.known.values():
@@ -414,7 +414,7 @@
         self._spawn(self._fence(block))
 
     async def _fence(self, block: Block) -> None:
-        """Shows our baton to every worker that can be reached, a few at a time."""
+        """Shows our token to every worker that can be reached, a few at a time."""
         gate = asyncio.Semaphore(24)
 
         async def one(machine) -> None:  # noqa: ANN001
@@ -469,8 +469,8 @@
         turns = in_order(
             (
                 v.staged
-                for v in self.book.jobs.values()
-                if v.staged.phase is Phase.OPEN and not self.book.called_off(v.id)
+                for v in self.store.jobs.values()
+                if v.staged.phase is Phase.OPEN and not self.store.cancelled_by_hint(v.id)
             ),
             self.guarantees,
             self.most_cpus,
@@ -518,14 +518,14 @@
         while True:
             try:
                 async with asyncio.timeout(IDLE_ROUND_S):
-                    await self._kicked.wait()
+                    await self._round_requested.wait()
             except TimeoutError:
                 pass
             now = self._clock.mono()
-            news = self._kicked.is_set() or now - full_at >= STILL_S
+            news = self._round_requested.is_set() or now - full_at >= STILL_S
             if news:
                 full_at = now
-            self._kicked.clear()
+            self._round_requested.clear()
             took = 0.0
             try:
                 took = await self._round(news)
@@ -534,7 +534,7 @@
             await asyncio.sleep(max(ROUND_S, took * (1 / ROUND_PART - 1)))
 
     async def _govern(self) -> None:
-        """Leadership, grants, batons, and letting a block go that hears nobody."""
+        """Leadership, grants, tokens, and letting a block go that hears nobody."""
         while True:
             try:
                 if self.mirror.loaded:
@@ -552,7 +552,7 @@
         if self.session.check() is not Standing.MEMBER:
             return
         if block.deposed and self.session.contact_at() > block.deposed_at + REINSTATE_S:
-            if self.session.grant(block.zone) == block.baton:
+            if self.session.grant(block.zone) == block.token:
                 block.reinstate()
             return
         if block.bump_wanted:
@@ -562,24 +562,24 @@
             record = BlockRecord(block.zone, self.me, self.session.lease)
             try:
                 result = await self.queue.commit(
-                    Commit([Condition(key, block.baton)], [Put(key, record, self.session.lease)]),
+                    Commit([Condition(key, block.token)], [Put(key, record, self.session.lease)]),
                     Urgency.LEASE,
                 )
             except (Lost, Full):
                 return
             if not result.failed:
-                self._bumped[block.zone] = Baton(result.revision)
+                self._bumped[block.zone] = FencingToken(result.revision)
                 self._update_blocks()
             return
         now = self._clock.mono()
         silent = now - max(block.last_report_at, block.since)
         # A new holder is found by its workers only after the former one stopped answering them.
         patience = max(3.5, 1.75 * self.limits.report_s) if block.last_report_at > block.since else TAKEOVER_S
-        expected = sum(1 for m in block.machines.values() if m.health in (Health.UP, Health.QUIET))
-        others = any(now - at < 3.0 and hint.state_ok and not hint.shy for hint, at in self.peers.values())
+        expected = sum(1 for m in block.machines.values() if m.health in (Health.UP, Health.SUSPECT))
+        others = any(now - at < 3.0 and hint.state_ok and not hint.declines_grants for hint, at in self.peers.values())
         if expected >= 2 and others and silent > patience:
             log.info("block %s: %d machines and not one report for %.1f s: giving it up", block.zone, expected, silent)
-            self.session.shy_until = Mono(now + SHY_S)
+            self.session.declines_grants_until = Mono(now + DECLINE_GRANTS_S)
             await self.session.give_up(keys.block(block.zone))
 
     def _shares(self) -> None:
--- a/src/cloverplank/fleet/cloud.py
+++ b/src/cloverplank/fleet/cloud.py
@@ -6,7 +6,7 @@
 import logging
 from typing import Any
 
-from cloverplank.kinds import Clock
+from cloverplank.basic_types import Clock
 from cloverplank.net.messages import Http, NoAnswer, NotSent, Response
 from cloverplank.state.client import Budget
 from cloverplank.wire.cloud import (
--- a/src/cloverplank/fleet/dependency_sweep.py
+++ b/src/cloverplank/fleet/dependency_sweep.py
@@ -11,9 +11,9 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from cloverplank.basic_types import Clock, JobId, Mono, Stamp
 from cloverplank.jobs.dependencies import UpstreamState, Verdict, decide
 from cloverplank.jobs.waiting import WaitingJob
-from cloverplank.kinds import Clock, JobId, Mono, Stamp
 from cloverplank.state import transitions
 from cloverplank.state.client import Lost, Refused, Unknown
 from cloverplank.state.fresh import Fresh
--- a/src/cloverplank/fleet/errors.py
+++ b/src/cloverplank/fleet/errors.py
@@ -2,7 +2,7 @@
 
 
 class Deposed(Exception):
-    """A worker has seen a higher baton than ours."""
+    """A worker has seen a higher token than ours."""
 
 
 class Unanswered(Exception):
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -8,14 +8,14 @@
 
 from msgspec import Struct
 
+from cloverplank.basic_types import Clock, FencingToken, JobId, MachineId, Mono, TaskRef, Zone
 from cloverplank.jobs import records
-from cloverplank.jobs.book import Book, JobView, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import TINY, Rooms, Turn
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Ended, JobRecord, Phase
-from cloverplank.kinds import Baton, Clock, JobId, MachineId, Mono, TaskRef, Zone
+from cloverplank.jobs.store import CachedJob, JobStore, Pending
 from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
 from cloverplank.state import keys
 from cloverplank.state.mirror import Mirror
@@ -71,9 +71,9 @@
     def __init__(
         self,
         zone: Zone,
-        baton: Baton,
+        token: FencingToken,
         clock: Clock,
-        book: Book,
+        store: JobStore,
         mirror: Mirror,
         queue: CommitQueue,
         http: Http,
@@ -81,13 +81,13 @@
         types: Callable[[], dict[str, MachineType]],
         returning: Returning,
         may_start: Callable[[], bool],
-        kick: Callable[[], None],
+        request_round: Callable[[], None],
     ) -> None:
         self.zone = zone
-        self.baton = baton
-        self.own_batons = {baton}  # under which nobody but us gave orders
+        self.token = token
+        self.own_tokens = {token}  # under which nobody but us gave orders
         self.clock = clock
-        self.book = book
+        self.store = store
         self._mirror = mirror
         self._queue = queue
         self._http = http
@@ -95,7 +95,7 @@
         self.types = types
         self.returning = returning
         self.may_start = may_start
-        self.kick = kick
+        self.request_round = request_round
         self.since = clock.mono()
         # What a former holder may have answered until its bound, and then the lease of the worker.
         self.unfenced_gone_at = Mono(self.since + limits.hold_on_s + limits.lease_s * 1.002 + 1.0)
@@ -106,20 +106,20 @@
         self.deposed = False
         self.deposed_by: MachineId | None = None
         self.deposed_at = self.since
-        self.liars: set[str] = set()  # workers that showed a baton that nobody was granted
+        self.untrusted_workers: set[str] = set()  # workers that showed a token that nobody was granted
         self.former_ended = False
         self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
         self.back_off: dict[JobId, Mono] = {}
         self._presence = Presence(self)
         self._placer = Placer(self)
         self._packing = Packing(self)
-        self._rooming = Rooming(book)
+        self._rooming = Rooming(store)
         self.turnover = Turnover(clock)
         self.spawned: set[asyncio.Task] = set()
 
     @property
     def conditions(self) -> list[Condition]:
-        return [Condition(keys.block(self.zone), self.baton)]
+        return [Condition(keys.block(self.zone), self.token)]
 
     # -- machines
 
@@ -147,9 +147,9 @@
 
     def on_report(self, report: Report) -> ReportAnswer:
         now = self.clock.mono()
-        if report.token > self.baton:
-            if report.machine in self.liars:
-                raise Unanswered("a baton that nobody was granted")
+        if report.token > self.token:
+            if report.machine in self.untrusted_workers:
+                raise Unanswered("a token that nobody was granted")
             self._depose(report)
         if report.machine not in self.machines and len(self.machines) >= MAX_MACHINES:
             raise Unanswered("too many machines")
@@ -157,9 +157,9 @@
         if not machine.fresh(report):
             raise Unanswered("a late copy")
         self.last_report_at = now
-        if report.token == self.baton and machine.without_news(report, self.book.touched(machine.id)):
+        if report.token == self.token and machine.without_news(report, self.store.change_count(machine.id)):
             machine.again(report, now)
-            return ReportAnswer(self.baton, [])
+            return ReportAnswer(self.token, [])
         machine.reported = (report.session, report.seq)
         machine.reported_at = now
         machine.addr, machine.type, machine.spot = report.addr or machine.addr, report.type, report.spot
@@ -170,26 +170,26 @@
                 orders = (reaps + orders)[:MAX_ORDERS]
             machine.in_answer.update(self._refs(orders))
             if not orders and not machine.unresolved and self.may_start():
-                machine.settled = self.book.touched(machine.id)
-        machine.unshown = 0 if report.token == self.baton else machine.unshown + 1
+                machine.settled = self.store.change_count(machine.id)
+        machine.unshown = 0 if report.token == self.token else machine.unshown + 1
         if machine.unshown > UNSHOWN_MOST:
             # It hears none of our answers, or just some of them. Each might renew the lease of tasks
             # that we know nothing of, so there are none until that lease has run out for certain.
-            held = machine.health is not Health.TAINTED and bool(self.book.on(machine.id))
+            held = machine.health is not Health.TAINTED and bool(self.store.on(machine.id))
             if held or now < machine.gone_at(self.limits.lease_s, self.unfenced_gone_at):
                 raise Unanswered("our answers don't reach it")
             machine.unshown = 1
         machine.answered_at = self.clock.mono()
-        return ReportAnswer(self.baton, orders)
+        return ReportAnswer(self.token, orders)
 
     def _depose(self, report: Report) -> None:
         if not self.deposed:
             log.info(
-                "block %s: worker %s has baton %d above ours, %d: deposed",
+                "block %s: worker %s has token %d above ours, %d: deposed",
                 self.zone,
                 report.machine,
                 report.token,
-                self.baton,
+                self.token,
             )
             self.deposed_by, self.deposed_at = MachineId(report.machine), self.clock.mono()
         self.deposed = True
@@ -197,11 +197,11 @@
 
     def reinstate(self) -> None:
         """All that was committed before a worker deposed us is known, and the block is still ours: nobody was
-        granted the baton that it showed."""
-        log.info("block %s: nobody was granted the baton of worker %s: not deposed", self.zone, self.deposed_by)
+        granted the token that it showed."""
+        log.info("block %s: nobody was granted the token of worker %s: not deposed", self.zone, self.deposed_by)
         self.deposed = False
-        if self.deposed_by is not None and len(self.liars) < MAX_MACHINES:
-            self.liars.add(self.deposed_by)
+        if self.deposed_by is not None and len(self.untrusted_workers) < MAX_MACHINES:
+            self.untrusted_workers.add(self.deposed_by)
 
     @staticmethod
     def _refs(orders: list[Order]) -> list[TaskRef]:
@@ -213,7 +213,7 @@
         return refs
 
     def _learn(self, machine: Machine, report: Report, in_answer: bool) -> bool:
-        """Takes a report in. False: it is old, or from before the worker knew our baton."""
+        """Takes a report in. False: it is old, or from before the worker knew our token."""
         now = self.clock.mono()
         if not machine.newer(report):
             return False
@@ -221,7 +221,7 @@
         machine.ends_at = Mono(now + max(0.0, notice)) if notice is not None else None
         machine.heard_at = now
         shown, machine.token = machine.token, max(machine.token or 0, report.token)
-        if report.token not in self.own_batons:
+        if report.token not in self.own_tokens:
             # What it shows may be older than orders of the former holder that are still on their way.
             machine.session, machine.seq = report.session, report.seq
             return False
@@ -229,20 +229,20 @@
             # Until now a former holder can have answered it.
             machine.fenced = True
             machine.answered_at = max(machine.answered_at, now)
-        machine.take(report, Baton(report.token), now, in_answer)
+        machine.take(report, FencingToken(report.token), now, in_answer)
         if not in_answer or (shown is not None and shown < report.token):
             machine.prove()
         if machine.health is not Health.UP:
             if machine.proven and self._presence.reportless(machine, now) > self.limits.quiet_after_s:
-                machine.move(Health.QUIET, "it answers, and its reports are missing")
+                machine.move(Health.SUSPECT, "it answers, and its reports are missing")
             elif machine.proven:
                 machine.move(Health.UP, "report")
-                self.kick()
+                self.request_round()
             else:
-                machine.move(Health.DOUBTED, "a report after a silence or a new session")
+                machine.move(Health.UNCONFIRMED, "a report after a silence or a new session")
         elif not machine.proven:
-            machine.move(Health.DOUBTED, "a new session")
-        if machine.health is Health.DOUBTED:
+            machine.move(Health.UNCONFIRMED, "a new session")
+        if machine.health is Health.UNCONFIRMED:
             self._presence.probe(machine)
         self._outcomes(machine)
         return True
@@ -251,7 +251,7 @@
         """Commits what has ended, before it is reaped."""
         ended: dict[JobId, list[Ended]] = {}
         for ref, task in machine.tasks.items():
-            view = self.book.get(ref.job)
+            view = self.store.get(ref.job)
             if view is None:
                 continue
             run = view.staged.run_of(ref, machine.id)
@@ -274,21 +274,21 @@
             self.stops.pop(ref, None)
             log.debug("task %s try %d on %s ended: %s", ref.name, ref.attempt, machine.id, task.why)
         # Placed here, not wanted any more, and not there: gone without a word.
-        for view in self.book.on(machine.id):
+        for view in self.store.on(machine.id):
             if view.staged.phase is Phase.OPEN:
                 continue
             for ref in self.placed_refs(view.staged, machine.id):
                 if ref not in machine.tasks and not machine.may_start_late(ref):
                     ended.setdefault(view.id, []).append(Ended(ref.index, ref.attempt, machine.id, False))
         for job, tasks in ended.items():
-            view = self.book.jobs[job]
+            view = self.store.jobs[job]
             open_tasks = view.staged.missing_count() + view.staged.placed()
             last = sum(1 for t in tasks if t.done) >= open_tasks
             soon = last or any(not t.done for t in tasks)
             delay = 0.0 if soon else self._merge_s()
             self.change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, delay)
         if ended:
-            self.kick()
+            self.request_round()
 
     def _merge_s(self) -> float:
         return min(LONGEST_MERGE_S, max(MERGE_S, self._placer.arrays / (DONE_PART * self.limits.write_rps)))
@@ -328,19 +328,19 @@
         orders: list[Order] = []
         reaps: list[Order] = []
         for ref, task in machine.tasks.items():
-            view = self.book.get(ref.job)
+            view = self.store.get(ref.job)
             wanted = view is not None and view.record.run_of(ref, machine.id) is not None
             if task.state == "ended":
                 # Not while a start may still come: it would be started again.
                 if not wanted and not machine.may_start_late(ref):
                     reaps.append(Order("reap", ref.name, ref.attempt))
-            elif not wanted or (view is not None and not self.book.wanted(view)):
+            elif not wanted or (view is not None and not self.store.wanted(view)):
                 orders.append(Order("stop", ref.name, ref.attempt, 0.0))
             elif ref in self.stops and task.state != "saving":
                 orders.append(Order("stop", ref.name, ref.attempt, self.stops[ref].grace_s))
         if machine.health is Health.UP and self.may_start():
-            for view in self.book.on(machine.id):
-                if not self.book.wanted(view) or view.staged.phase is not Phase.OPEN:
+            for view in self.store.on(machine.id):
+                if not self.store.wanted(view) or view.staged.phase is not Phase.OPEN:
                     continue
                 for ref in self.placed_refs(view.record, machine.id):
                     # Both: what is staged to leave the machine must not be started there again.
@@ -350,14 +350,14 @@
                             orders.append(Order("stop", ref.name, ref.attempt, 0.0))
         return orders[:MAX_ORDERS], reaps
 
-    def job_changed(self, view: JobView | None) -> None:
+    def job_changed(self, view: CachedJob | None) -> None:
         """A record changed: machines that have something to do are told at once."""
         if view is None:
             return
         for run in view.record.runs:
             machine = self.machines.get(MachineId(run.machine))
             if machine is not None and machine.health is Health.UP:
-                cancelled = not self.book.wanted(view)
+                cancelled = not self.store.wanted(view)
                 for index in numbers(run.tasks):
                     ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
                     if cancelled != (ref not in machine.tasks):
@@ -397,7 +397,7 @@
         started = set(self._refs(orders))
         machine.in_orders |= started
         session = machine.session
-        body = encode(DirectOrders(self.baton, session, orders))
+        body = encode(DirectOrders(self.token, session, orders))
         try:
             response = await self._http.request(machine.addr, "POST", ORDERS_PATH, body, timeout)
             if response.status not in (200, 409):
@@ -409,23 +409,23 @@
             log.debug("orders to %s not sent: %s", machine.id, err)
             return None if isinstance(err, NoRoom) else False
         except (NoAnswer, BadMessage) as err:
-            # They may be executed at any later time while session and baton stand.
+            # They may be executed at any later time while session and token stand.
             now = self.clock.mono()
             machine.push_failed_at = now
             machine.in_orders -= started
             if machine.session == session:
-                machine.unresolved.update({ref: (session, self.baton, now) for ref in started})
+                machine.unresolved.update({ref: (session, self.token, now) for ref in started})
             log.debug("orders to %s: no answer: %s", machine.id, err)
             return False
         machine.in_orders -= started
-        if report.token > self.baton and report.machine not in self.liars:
+        if report.token > self.token and report.machine not in self.untrusted_workers:
             self._depose(report)
         if report.machine == machine.id:
             self._learn(machine, report, in_answer=False)
         return response.status == 200
 
     async def fence(self, machine: Machine) -> None:
-        """Shows the worker our baton, so that no former holder's answers or orders count any more."""
+        """Shows the worker our token, so that no former holder's answers or orders count any more."""
         if machine.pushing or not machine.addr:
             return
         machine.pushing = True
@@ -433,7 +433,7 @@
             session = machine.session
             await self.send(machine, [], PROBE_S)
             if not machine.fenced and machine.session != session:
-                # Refused for its session, which we had to guess: a worker takes no baton from such orders.
+                # Refused for its session, which we had to guess: a worker takes no token from such orders.
                 await self.send(machine, [], PROBE_S)
         except Deposed:
             pass
@@ -445,14 +445,14 @@
     # -- the round: health, stops, placement
 
     def change(
-        self, view: JobView, change: records.Change, urgency: Urgency, delay: float = 0.0, plan: str = ""
+        self, view: CachedJob, change: records.Change, urgency: Urgency, delay: float = 0.0, plan: str = ""
     ) -> None:
         ready = Mono(self.clock.mono() + delay)
         self._queue.change(view, Pending(change, int(urgency), ready, self.conditions, plan=plan))
 
     def evict(self, machine: MachineId, why: str) -> None:
         views = [
-            v for v in self.book.on(machine) if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
+            v for v in self.store.on(machine) if any(r.zone == self.zone for r in v.staged.runs_on.get(machine, ()))
         ]
         if views:
             log.info(
@@ -467,7 +467,7 @@
         if machine.ends_at is None and not faulty:
             return
         left = 0.0 if machine.ends_at is None else machine.ends_at - now
-        for view in self.book.on(machine.id):
+        for view in self.store.on(machine.id):
             spec = view.record.spec
             can_save = spec.checkpoint_s > 0
             lead = spec.save_s + 1.0 + self.limits.report_s if can_save else self.limits.report_s * 0.6
@@ -492,7 +492,7 @@
             kind = types.get(machine.type)
             if kind is None or machine.health is not Health.UP or machine.ends_at is not None:
                 continue
-            if self.book.load(machine.id).cpus + least_cpus > kind.cpus + TINY:
+            if self.store.load(machine.id).cpus + least_cpus > kind.cpus + TINY:
                 continue  # full for this round: under a backlog most are
             if machine.id in self.returning or self.faulty(machine) or machine.id in self._packing.emptying:
                 continue
@@ -529,11 +529,11 @@
             log.info("block %s: former holders have ended", self.zone)
             self.unfenced_gone_at = gone_at
 
-    def rebaton(self, baton: Baton) -> None:
+    def renew_token(self, token: FencingToken) -> None:
         """Our own grant under a new stamp: nobody else answered in between."""
-        log.info("block %s: baton %d -> %d", self.zone, self.baton, baton)
-        self.baton = baton
-        self.own_batons.add(baton)
+        log.info("block %s: token %d -> %d", self.zone, self.token, token)
+        self.token = token
+        self.own_tokens.add(token)
         self.bump_wanted = False
 
     def close(self) -> None:
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -7,19 +7,19 @@
 import math
 from collections.abc import Callable
 
+from cloverplank.basic_types import Clock, MachineId, Mono, NodeId, Stamp, Zone
 from cloverplank.jobs import limits as team_limits
 from cloverplank.jobs import records
-from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.limits import Limit, Shortage
 from cloverplank.jobs.placing import GUESS, NO_TARGET_MS, TINY, Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import Phase
-from cloverplank.kinds import Clock, MachineId, Mono, NodeId, Stamp, Zone
+from cloverplank.jobs.store import JobStore, Pending
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform
 from cloverplank.state import keys
 from cloverplank.state.client import Lost, Refused, Unknown
-from cloverplank.state.keys import BlockRecord, FormatRecord, HireRecord, NodeRecord, ReturnRecord
+from cloverplank.state.keys import BlockRecord, FormatRecord, NodeRecord, RentalRecord, ReturnRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session
@@ -39,7 +39,7 @@
 LEAST_PAID_S = 58.0  # a machine costs a minute at the least, so one younger is kept
 DRAIN_S = 0.5  # a placement on its way when a drain is committed shows within this time
 MAX_RETURNS = 48  # begun in one look
-HIRE_KEPT_S = 60.0  # a rental at the most, beyond what the list lags
+RENTAL_KEPT_S = 60.0  # a rental at the most, beyond what the list lags
 GONE_KEPT_S = 300.0  # late copies of its reports must not bring a machine back
 
 
@@ -68,7 +68,7 @@
         self._session = session
         self._mirror = mirror
         self._queue = queue
-        self._book: Book = mirror.book
+        self._store: JobStore = mirror.store
         self._roster = roster
         self._cloud = cloud
         self._headroom = headroom
@@ -83,12 +83,12 @@
         self.shortages: list[Shortage] = []
         self.needed: set[str] = set()
         self._refused: dict[Kind, Mono] = {}
-        self._hire_seq = 0
+        self._rental_seq = 0
         self._led: Stamp | None = None
         self._led_since = Mono(0.0)
         self._listed_at = Mono(-1e9)
         self._draining: dict[str, Mono] = {}
-        self._rooming = Rooming(mirror.book)
+        self._rooming = Rooming(mirror.store)
 
     # -- grants
 
@@ -135,7 +135,7 @@
                 log.debug("grant of %s to %s: %s", zone, node, err)
                 continue
             if not answer.failed:
-                log.info("grant: block %s to %s, baton %d", zone, node, answer.revision)
+                log.info("grant: block %s to %s, token %d", zone, node, answer.revision)
 
     def _candidate(self, zone: Zone) -> tuple[NodeId, NodeRecord, Stamp] | None:
         now = self._clock.mono()
@@ -143,13 +143,13 @@
         for name, (record, stamp) in self._mirror.under(keys.NODES, NodeRecord).items():
             node = NodeId(name)
             if node == self._session.me:
-                if now < self._session.shy_until:
+                if now < self._session.declines_grants_until:
                     continue
                 heard, fresh = 0, True
             else:
                 hint, at = self._peers.get(node, (None, Mono(-1e9)))
                 fresh = hint is not None and now - at < 4.0
-                if fresh and hint is not None and hint.shy:
+                if fresh and hint is not None and hint.declines_grants:
                     continue
                 heard = hint.heard.get(zone, 0) if fresh and hint is not None else 0
             found.append((record.zone == zone, fresh, heard, node == self._session.me, node, record, stamp))
@@ -169,12 +169,12 @@
             return
         condition = [Condition(keys.LEADER, stamp)]
         others: dict[str, Limit] = {}
-        for view in self._book.jobs.values():
-            if view.staged.phase is not Phase.OPEN or self._book.called_off(view.id):
+        for view in self._store.jobs.values():
+            if view.staged.phase is not Phase.OPEN or self._store.cancelled_by_hint(view.id):
                 spec, held = view.record.spec, view.held()
                 have = others.get(spec.team, Limit(0.0, 0.0))
                 others[spec.team] = Limit(have.cpus + held * spec.cpus, have.gpus + held * spec.gpus)
-        totals = team_limits.totals(turns, lambda job: self._book.jobs[job].held(), self._limits, others)
+        totals = team_limits.totals(turns, lambda job: self._store.jobs[job].held(), self._limits, others)
         ready = self._headroom.turns(self._clock.wall())
         least = min((t.record.spec.cpus for t in [*ready, *turns] if t.record.missing_count()), default=0.0)
         rooms = self.rooms(least)
@@ -194,7 +194,7 @@
             record = turn.record
             if not record.missing_count() and record.allot == record.by_zone:
                 continue  # all it wants is placed
-            view = self._book.jobs[record.id]
+            view = self._store.jobs[record.id]
             try:
                 allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
             except Exception:
@@ -223,22 +223,21 @@
         result: list[Room] = []
         for known in self._roster.known.values():
             kind = types.get(known.type)
-            if kind is None or self._book.load(known.id).cpus + least_cpus > kind.cpus + TINY:
+            if kind is None or self._store.load(known.id).cpus + least_cpus > kind.cpus + TINY:
                 continue
             if not self._usable(known):
                 continue
             room = self._rooming.room(known.id, known.zone, kind, known.spot, known.images)
             room.real = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
             result.append(room)
-        for name, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
-            kind = types.get(hire.type)
-            if kind is None or hire.machines:
+        for name, (rental, _) in self._mirror.under(keys.RENTALS, RentalRecord).items():
+            kind = types.get(rental.type)
+            if kind is None or rental.machines:
                 continue
-            for number in range(hire.count):
+            for number in range(rental.count):
+                machine = MachineId(f"{name}#{number}")
                 result.append(
-                    room_of(
-                        MachineId(f"{name}#{number}"), Zone(hire.zone), kind, hire.spot, frozenset(), self._book, False
-                    )
+                    room_of(machine, Zone(rental.zone), kind, rental.spot, frozenset(), self._store, real=False)
                 )
         return Rooms(result, least_cpus)
 
@@ -303,7 +302,7 @@
                 continue
             boots = known.heard_at is None
             capacity[known.zone][boots] += kind.cpus
-            for view in self._book.on(known.id):
+            for view in self._store.on(known.id):
                 spec = view.staged.spec
                 cpus = spec.cpus * view.staged.placed_on(known.id)
                 if spec.service:
@@ -319,22 +318,22 @@
         stamp = self._session.leads()
         if stamp is None:
             return
-        for name, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
-            if self._clock.wall() - hire.at > 1000 * max(HIRE_KEPT_S, 6 * self._platform.facts.cloud.list_lag_s):
+        for name, (rental, _) in self._mirror.under(keys.RENTALS, RentalRecord).items():
+            if self._clock.wall() - rental.at > 1000 * max(RENTAL_KEPT_S, 6 * self._platform.facts.cloud.list_lag_s):
                 # Long over: what came of it is in the list. A late copy of its transaction opened it again.
-                await self._write([Delete(keys.hire(name))])
-            elif not hire.machines:
-                await self._call(name, hire)  # begun by a former leader, or not answered
-            elif all(self._is_known(m) for m in hire.machines):
-                await self._write([Delete(keys.hire(name))])
+                await self._write([Delete(keys.rental(name))])
+            elif not rental.machines:
+                await self._call(name, rental)  # begun by a former leader, or not answered
+            elif all(self._is_known(m) for m in rental.machines):
+                await self._write([Delete(keys.rental(name))])
         if not self.shortages:
             return
         most = int(self._operator.rent_limit) - len(self._roster.known)
         wants = renting.wants(self.shortages, self._types(), self._is_refused, self._costly(), most)
         for want in wants[:2]:
-            self._hire_seq += 1
-            name = f"r-{stamp}-{self._hire_seq}"
-            hire = HireRecord(want.kind.type, want.kind.zone, want.kind.spot, want.count, self._clock.wall())
+            self._rental_seq += 1
+            name = f"r-{stamp}-{self._rental_seq}"
+            rental = RentalRecord(want.kind.type, want.kind.zone, want.kind.spot, want.count, self._clock.wall())
             log.info(
                 "rent %s: %d %s in %s, %s",
                 name,
@@ -343,42 +342,41 @@
                 want.kind.zone,
                 "spot" if want.kind.spot else "ordinary",
             )
-            if not await self._write([Put(keys.hire(name), hire)]):
+            if not await self._write([Put(keys.rental(name), rental)]):
                 return
-            await self._call(name, hire)
+            await self._call(name, rental)
 
     def _is_known(self, machine: str) -> bool:
         known = self._roster.known.get(MachineId(machine))
         gone = MachineId(machine) in self._roster.left
         return gone or (known is not None and (known.listed_at is not None or known.heard_at is not None))
 
-    async def _call(self, name: str, hire: HireRecord) -> None:
-        kind = Kind(hire.type, Zone(hire.zone), hire.spot)
+    async def _call(self, name: str, rental: RentalRecord) -> None:
+        kind = Kind(rental.type, Zone(rental.zone), rental.spot)
         try:
-            machines = await self._cloud.rent(RentRequest(name, hire.type, hire.zone, hire.spot, hire.count))
+            machines = await self._cloud.rent(RentRequest(name, rental.type, rental.zone, rental.spot, rental.count))
         except NoCapacity:
-            log.info(
-                "rent %s: no capacity for %s in %s, %s", name, hire.type, hire.zone, "spot" if hire.spot else "ordinary"
-            )
+            spot = "spot" if rental.spot else "ordinary"
+            log.info("rent %s: no capacity for %s in %s, %s", name, rental.type, rental.zone, spot)
             self._pause(kind)
-            await self._write([Delete(keys.hire(name))])
+            await self._write([Delete(keys.rental(name))])
             return
         except CloudDown as err:
             log.info("rent %s: no answer: %s", name, err)
-            if self._clock.wall() - hire.at > 30_000:
+            if self._clock.wall() - rental.at > 30_000:
                 # If it is carried out late, its machines show up in list and reports.
-                await self._write([Delete(keys.hire(name))])
+                await self._write([Delete(keys.rental(name))])
             return
         log.info("rent %s: got %s", name, " ".join(machines))
-        if len(machines) < hire.count:
+        if len(machines) < rental.count:
             self._pause(kind)
         for machine in machines:
-            self._roster.hired(machine, hire.zone, hire.type, hire.spot)
+            self._roster.hired(machine, rental.zone, rental.type, rental.spot)
         if machines:
-            done = HireRecord(hire.type, hire.zone, hire.spot, hire.count, hire.at, machines)
-            await self._write([Put(keys.hire(name), done)])
+            done = RentalRecord(rental.type, rental.zone, rental.spot, rental.count, rental.at, machines)
+            await self._write([Put(keys.rental(name), done)])
         else:
-            await self._write([Delete(keys.hire(name))])
+            await self._write([Delete(keys.rental(name))])
 
     async def _write_all(self, changes: list[Put | Delete]) -> bool:
         """In as many commits as it takes."""
@@ -407,9 +405,9 @@
         """Reads the cloud's list. Machines that nobody knows are adopted by being known now."""
         if self._session.leads() is None:
             return
-        for _, (hire, _) in self._mirror.under(keys.HIRES, HireRecord).items():
-            for machine in hire.machines:
-                self._roster.hired(machine, hire.zone, hire.type, hire.spot)
+        for _, (rental, _) in self._mirror.under(keys.RENTALS, RentalRecord).items():
+            for machine in rental.machines:
+                self._roster.hired(machine, rental.zone, rental.type, rental.spot)
         try:
             machines: dict[str, ListedMachine] = await self._cloud.machines()
         except CloudDown as err:
@@ -424,7 +422,7 @@
         types = self._types()
         result = []
         for known in self._roster.known.values():
-            busy = bool(self._book.on(known.id)) or known.id in self.needed
+            busy = bool(self._store.on(known.id)) or known.id in self.needed
             if busy or known.idle_since is None:
                 known.idle_since = None if busy else now
             kind = types.get(known.type)
@@ -452,7 +450,7 @@
                 result.append((known, "idle"))
         return result
 
-    async def give_back(self) -> None:
+    async def return_machines(self) -> None:
         if self._session.leads() is None:
             return
         await self._record_gone()
@@ -485,7 +483,7 @@
         for batch in self._returning.batches().values():
             for name, why in batch.draining.items():
                 since = self._draining.setdefault(name, now)
-                busy = bool(self._book.on(MachineId(name)))
+                busy = bool(self._store.on(MachineId(name)))
                 if (
                     now - since >= DRAIN_S
                     and (not busy or why in ("failed", "silent", "never up") or now - since > 40)
@@ -499,7 +497,7 @@
         changes: list[Put | Delete] = []
         for key, batch in self._returning.batches().items():
             # Placed in the same moment: it stays.
-            stays = {n for n, why in batch.draining.items() if why == "idle" and self._book.on(MachineId(n))}
+            stays = {n for n, why in batch.draining.items() if why == "idle" and self._store.on(MachineId(n))}
             for name in stays:
                 self._draining.pop(name, None)
             left = {name: why for name, why in batch.draining.items() if name not in stays}
@@ -549,7 +547,7 @@
                 if turn % 4 == 0:
                     await self.look()
                 await self.rent()
-                await self.give_back()
+                await self.return_machines()
             except Exception:
                 log.exception("renting failed")
             turn += 1
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from cloverplank.kinds import DRIFT, Baton, MachineId, Mono, TaskRef, Zone, parse_task
+from cloverplank.basic_types import DRIFT, FencingToken, MachineId, Mono, TaskRef, Zone, parse_task
 from cloverplank.wire.workers import Report, ReportedTask
 
 log = logging.getLogger("cloverplank.fleet")
@@ -18,10 +18,10 @@
 
 
 class Health(Enum):
-    UNHEARD = "unheard"  # no report that has our baton yet
+    UNHEARD = "unheard"  # no report that has our token yet
     UP = "up"
-    DOUBTED = "doubted"  # it reports, but nothing shows that answers and commands reach it: no new tasks
-    QUIET = "quiet"  # reports are missing: no new tasks
+    UNCONFIRMED = "doubted"  # it reports, but nothing shows that answers and commands reach it: no new tasks
+    SUSPECT = "quiet"  # reports are missing: no new tasks
     TAINTED = "tainted"  # silent past the threshold and its lease run out: evicted
 
 
@@ -33,13 +33,13 @@
     type: str = ""
     spot: bool = False
     health: Health = Health.UNHEARD
-    fenced: bool = False  # the worker has our baton: nobody else's answers count for it any more
+    fenced: bool = False  # the worker has our token: nobody else's answers count for it any more
     session: int = 0
     seq: int = 0
     reported: tuple[int, int] = (0, 0)  # session and number of the newest report, answers to orders apart
-    token: int | None = None  # the highest baton that it has shown
+    token: int | None = None  # the highest token that it has shown
     proven: bool = False  # answers or commands have reached it in this session, since it last was silent
-    unshown: int = 0  # reports answered since one showed our baton
+    unshown: int = 0  # reports answered since one showed our token
     heard_at: Mono = Mono(-1e9)
     reported_at: Mono = Mono(-1e9)  # the last report that came by itself; only answers to those renew a lease
     answered_at: Mono = Mono(-1e9)  # our last answer that can have renewed its lease
@@ -47,12 +47,12 @@
     ends_at: Mono | None = None  # the cloud takes it away then
     tasks: dict[TaskRef, ReportedTask] = field(default_factory=dict)
     shown: list[ReportedTask] = field(default_factory=list)  # the same as its newest report has them
-    settled: int | None = None  # the book's number for it when all that it shows had been seen to
+    settled: int | None = None  # the store's number for it when all that it shows had been seen to
     first_seen: dict[TaskRef, Mono] = field(default_factory=dict)
     seen_running: set[TaskRef] = field(default_factory=set)
     in_answer: set[TaskRef] = field(default_factory=set)  # started by our last answer, outcome not seen
     in_orders: set[TaskRef] = field(default_factory=set)  # started by orders on their way
-    unresolved: dict[TaskRef, tuple[int, Baton, Mono]] = field(default_factory=dict)
+    unresolved: dict[TaskRef, tuple[int, FencingToken, Mono]] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # with their size, the latest used last
     known_images: frozenset[str] = frozenset()  # the same
     failed_jobs: set[str] = field(default_factory=set)
@@ -77,11 +77,11 @@
         has one report in flight at a time, so nobody waits for the answer to any other."""
         return (report.session, report.seq) > self.reported
 
-    def without_news(self, report: Report, touched: int) -> bool:
+    def without_news(self, report: Report, change_count: int) -> bool:
         """A report that says nothing that the last one did not say, of a machine that had nothing left to do and
         whose jobs have not changed since: most are, and they must not cost what grows with tasks or jobs."""
         return (
-            self.settled == touched
+            self.settled == change_count
             and self.health is Health.UP
             and self.proven
             and self.fenced
@@ -103,8 +103,8 @@
         self.heard_at = self.reported_at = self.answered_at = now
         self.unshown = 0
 
-    def take(self, report: Report, baton: Baton, now: Mono, in_answer: bool) -> None:
-        """A newer report that carries our baton: `baton`, the one that it shows."""
+    def take(self, report: Report, shown_token: FencingToken, now: Mono, in_answer: bool) -> None:
+        """A newer report that carries our shown_token: `shown_token`, the one that it shows."""
         if report.session != self.session:
             # Orders of a former session are not executed any more.
             self.unresolved.clear()
@@ -114,7 +114,7 @@
             # One report is in flight at a time: the answer to the last one was handled or dropped.
             self.in_answer.clear()
         for task, (_, token, _) in list(self.unresolved.items()):
-            if token < baton:
+            if token < shown_token:
                 del self.unresolved[task]
         self.session, self.seq = report.session, report.seq
         self.settled = None
@@ -136,7 +136,7 @@
 
     def deaf(self) -> bool:
         """It is heard, and a direct question got no answer."""
-        return self.health is Health.DOUBTED and self.lost_since is not None
+        return self.health is Health.UNCONFIRMED and self.lost_since is not None
 
     def may_start_late(self, task: TaskRef) -> bool:
         """A start for it may still be executed although the worker does not show it."""
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -5,12 +5,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-from cloverplank.jobs.book import JobView
+from cloverplank.basic_types import MachineId, Mono, TaskRef
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import Rooms, room_for
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Phase
-from cloverplank.kinds import MachineId, Mono, TaskRef
+from cloverplank.jobs.store import CachedJob
 
 from .machines import Health, Machine
 
@@ -44,10 +44,10 @@
         targets: Rooms | None = None
         for name in list(self.emptying):
             machine = block.machines.get(name)
-            if machine is None or machine.health is not Health.UP or not block.book.on(name):
+            if machine is None or machine.health is not Health.UP or not block.store.on(name):
                 del self.emptying[name]
                 continue
-            if now - self.emptying[name] < MOVE_PAUSE_S or any(not self._settled(v) for v in block.book.on(name)):
+            if now - self.emptying[name] < MOVE_PAUSE_S or any(not self._settled(v) for v in block.store.on(name)):
                 continue
             self.emptying[name] = now
             moved = self._movable(machine, now)
@@ -62,7 +62,7 @@
             if len(self.emptying) < most:
                 self._look(headroom, most, now)
 
-    def _settled(self, view: JobView) -> bool:
+    def _settled(self, view: CachedJob) -> bool:
         """All replicas of a job run: one more can be moved without anybody missing two."""
         block = self._block
         return (
@@ -79,16 +79,16 @@
             )
         )
 
-    def _movable(self, machine: Machine, now: Mono) -> list[JobView] | None:
+    def _movable(self, machine: Machine, now: Mono) -> list[CachedJob] | None:
         """The jobs on a machine, if all are replicas that have run for a while."""
-        views = self._block.book.on(machine.id)
+        views = self._block.store.on(machine.id)
         if not views or any(not v.record.spec.service or v.record.phase is not Phase.OPEN for v in views):
             return None
         if any(now - machine.first_seen.get(ref, now) < SETTLED_S for ref in machine.tasks):
             return None
         return views
 
-    def _may_fit(self, views: list[JobView], name: MachineId, rooms: Rooms) -> bool:
+    def _may_fit(self, views: list[CachedJob], name: MachineId, rooms: Rooms) -> bool:
         """Whether each job by itself fits on others, before what is kept ready."""
         for view in views:
             spec, tasks = view.record.spec, view.staged.placed_on(name)
@@ -101,7 +101,7 @@
                 return False
         return True
 
-    def _fits_elsewhere(self, views: list[JobView], machine: Machine, rooms: Rooms) -> bool:
+    def _fits_elsewhere(self, views: list[CachedJob], machine: Machine, rooms: Rooms) -> bool:
         """Takes the room it counts on."""
         for view in views:
             spec = view.record.spec
--- a/src/cloverplank/fleet/placer.py
+++ b/src/cloverplank/fleet/placer.py
@@ -5,13 +5,13 @@
 import logging
 from typing import TYPE_CHECKING
 
+from cloverplank.basic_types import MachineId, Mono, TaskRef
 from cloverplank.jobs import records
-from cloverplank.jobs.book import JobView
 from cloverplank.jobs.dependencies import RANKS
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
-from cloverplank.kinds import MachineId, Mono, TaskRef
+from cloverplank.jobs.store import CachedJob
 from cloverplank.state.queue import Urgency
 
 from .preempting import Preemption
@@ -41,9 +41,9 @@
         if arrays_too:
             self._arrays_at = now
             self.arrays = sum(1 for t in turns if not t.record.spec.service and t.record.placed(block.zone))
-        wanting: list[tuple[Turn, JobView]] = []
+        wanting: list[tuple[Turn, CachedJob]] = []
         for turn in turns:
-            view = block.book.get(turn.record.id)
+            view = block.store.get(turn.record.id)
             if view is None or not view.staged.missing_count():
                 continue
             if not arrays_too and not view.record.spec.service and turn.rank > RANKS["urgent"]:
@@ -69,7 +69,7 @@
         self.short = any(turn.record.spec.service for turn, _ in waiting)
         Preemption(block, turns).run(waiting, headroom.serves)
 
-    def _job(self, view: JobView, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
+    def _job(self, view: CachedJob, turn: Turn, rooms: Rooms, spare: Rooms, ready: bool, now: Mono) -> int:
         """Places what there is room for; returns how many tasks lack it. `spare`: the rooms less what is
         kept ready for others; `ready`: this job is one of those."""
         block = self._block
@@ -100,7 +100,7 @@
             block.change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
         return most - sum(p.count for p in placements)
 
-    def _gather(self, view: JobView) -> None:
+    def _gather(self, view: CachedJob) -> None:
         """A gang that lost a member: its other members save and stop."""
         block = self._block
         for run in view.record.runs:
@@ -114,7 +114,7 @@
         """Drops eviction entries whose replacements are healthy, or that are too old."""
         block = self._block
         now = block.clock.wall()
-        for view in block.book.jobs.values():
+        for view in block.store.jobs.values():
             entries = view.staged.evictions
             if not entries or view.pending:
                 continue
--- a/src/cloverplank/fleet/preempting.py
+++ b/src/cloverplank/fleet/preempting.py
@@ -7,9 +7,9 @@
 
 from msgspec import Struct
 
+from cloverplank.basic_types import Clock, JobId, MachineId, TaskRef
 from cloverplank.jobs.placing import Room, Turn, protected, room_for, suits
 from cloverplank.jobs.records import JobRecord, Phase
-from cloverplank.kinds import Clock, JobId, MachineId, TaskRef
 from cloverplank.wire.users import JobSpec
 
 from .machines import Machine
@@ -103,7 +103,7 @@
         now = block.clock.mono()
         coming: dict[MachineId, list[float]] = {}
         for ref, stop in block.stops.items():
-            view = block.book.get(ref.job)
+            view = block.store.get(ref.job)
             machine = block.machines.get(stop.machine)
             if view is not None and machine is not None and ref in machine.tasks and now - stop.at < COMING_S:
                 _add(coming.setdefault(machine.id, [0.0, 0.0, 0.0]), view.record.spec, 1)
@@ -118,7 +118,7 @@
         now = block.clock.wall()
         found = []
         for ref, task in machine.tasks.items():
-            view = block.book.get(ref.job)
+            view = block.store.get(ref.job)
             if view is None or ref in block.stops or task.state not in ("running", "pulling"):
                 continue
             record = view.record
--- a/src/cloverplank/fleet/presence.py
+++ b/src/cloverplank/fleet/presence.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from cloverplank.kinds import Mono
+from cloverplank.basic_types import Mono
 
 from .errors import Deposed
 from .machines import Health, Machine
@@ -22,7 +22,7 @@
 CHECK_S = 0.2  # between two looks at all machines for silence
 MANY = 6.0  # reports expected while a question waits, from where on one at least must have come
 LATE_S = 0.4  # a question that took this much longer than its limit was held up on our side
-UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our baton
+UNSHOWN_MOST = 3  # reports answered in a row without one of them showing our token
 UNRESOLVED_S = 3.0
 SEARCH_S = 4.0  # a new holder is found by workers after this long: a time limit of theirs
 # A machine that answers orders and sends no report is mute after this part of its lease, and so many report periods: a
@@ -46,14 +46,16 @@
         if now - self._checked_at < CHECK_S:
             return
         self._checked_at = now
-        for name in [m for m in block.book.by_machine if m not in block.machines]:
+        for name in [m for m in block.store.by_machine if m not in block.machines]:
             if block.returning.gone(name):
                 # Released before this holder had the block, or its eviction was lost with the former one.
                 if block.may_start():
                     block.evict(name, "released")
                 continue
             # Placed by a former holder on a machine that nobody has told us of yet.
-            if any(run.zone == block.zone for view in block.book.on(name) for run in view.record.runs_on.get(name, ())):
+            if any(
+                run.zone == block.zone for view in block.store.on(name) for run in view.record.runs_on.get(name, ())
+            ):
                 block.machine(name)
         if not block.may_start():
             return  # without the state service nothing that it judged could be committed
@@ -61,17 +63,17 @@
         for machine in list(block.machines.values()):
             heard_at = machine.heard_at if machine.unshown <= UNSHOWN_MOST else machine.answered_at
             silent = now - max(heard_at, block.since)
-            if machine.health in (Health.UP, Health.DOUBTED):
+            if machine.health in (Health.UP, Health.UNCONFIRMED):
                 without = self.reportless(machine, now)
                 if max(silent, without) > limits.quiet_after_s:
-                    machine.move(Health.QUIET, f"no report for {without:.1f} s, silent for {silent:.1f} s")
+                    machine.move(Health.SUSPECT, f"no report for {without:.1f} s, silent for {silent:.1f} s")
                     machine.proven = False
             gone_at = machine.gone_at(limits.lease_s, block.unfenced_gone_at)
             if machine.health is not Health.TAINTED and silent >= limits.taint_after_s and now >= gone_at:
                 self._taint(machine, silent)
             if machine.deaf():
                 self._evict_absent(machine, "deaf")
-            if machine.health is Health.QUIET:
+            if machine.health is Health.SUSPECT:
                 self._check_mute(machine, now, deaf)
             if machine.health is Health.TAINTED:
                 block.evict(machine.id, "tainted")
@@ -79,15 +81,16 @@
                 machine.in_orders.clear()
                 machine.unresolved.clear()
                 machine.tasks.clear()
-                if silent > 600 and not block.book.on(machine.id):
+                if silent > 600 and not block.store.on(machine.id):
                     del block.machines[machine.id]
-            elif machine.health is Health.DOUBTED or (
-                silent >= limits.release_after_s > 0 and (machine.health is Health.QUIET or block.book.on(machine.id))
+            elif machine.health is Health.UNCONFIRMED or (
+                silent >= limits.release_after_s > 0
+                and (machine.health is Health.SUSPECT or block.store.on(machine.id))
             ):
                 self.probe(machine)
             self._check_unresolved(machine, now)
             block.check_notice(machine, now)
-        for ref in [r for r, stop in block.stops.items() if now - stop.at > 60 or block.book.get(r.job) is None]:
+        for ref in [r for r, stop in block.stops.items() if now - stop.at > 60 or block.store.get(r.job) is None]:
             del block.stops[ref]
 
     def reportless(self, machine: Machine, now: Mono) -> float:
@@ -108,7 +111,7 @@
             return  # nobody's reports come: it may be us
         saving = [
             (ref, view.record.spec.save_s)
-            for view in block.book.on(machine.id)
+            for view in block.store.on(machine.id)
             if view.record.spec.checkpoint_s > 0
             for ref in block.placed_refs(view.record, machine.id)
             if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
@@ -129,23 +132,23 @@
             if machine.lost_since is None:
                 log.info("machine %s: %s", machine.id, why)
             machine.lost_since = now
-            block.kick()  # the leader should hear of it in the next round
+            block.request_round()  # the leader should hear of it in the next round
 
     def _evict_absent(self, machine: Machine, why: str) -> None:
         """Its newest report shows that its tasks are gone, and no start can be on its way to it any more: they are
         placed elsewhere."""
         block = self._block
-        refs = [ref for view in block.book.on(machine.id) for ref in block.placed_refs(view.record, machine.id)]
+        refs = [ref for view in block.store.on(machine.id) for ref in block.placed_refs(view.record, machine.id)]
         if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
             block.evict(machine.id, why)
 
     def _taint(self, machine: Machine, silent: float) -> None:
         block = self._block
-        if machine.health is Health.UNHEARD and not block.book.on(machine.id):
+        if machine.health is Health.UNHEARD and not block.store.on(machine.id):
             return  # it never came up, and nothing is on it
         machine.move(Health.TAINTED, f"silent for {silent:.1f} s, lease run out")
         machine.fenced = False
-        block.kick()
+        block.request_round()
 
     def probe(self, machine: Machine) -> None:
         """Asks a silent machine directly; without an answer it is lost, and its release proves its tasks
@@ -166,7 +169,7 @@
     async def ask(self, machine: Machine) -> None:
         block = self._block
         asked = block.clock.mono()
-        doubted = machine.health is Health.DOUBTED
+        doubted = machine.health is Health.UNCONFIRMED
         try:
             heard = await block.send(machine, [], PROBE_S)
         except Deposed:
@@ -197,12 +200,12 @@
 
     def _check_unresolved(self, machine: Machine, now: Mono) -> None:
         block = self._block
-        for ref, (_, baton, since) in machine.unresolved.items():
-            if baton == block.baton and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
-                # It reports, so its lease won't end the matter: a new baton does.
+        for ref, (_, token, since) in machine.unresolved.items():
+            if token == block.token and now - since > UNRESOLVED_S and machine.heard_at > since and machine.proven:
+                # It reports, so its lease won't end the matter: a new token does.
                 if not block.bump_wanted:
                     log.info(
-                        "block %s: orders for %s on %s may come late: new baton wanted",
+                        "block %s: orders for %s on %s may come late: new token wanted",
                         block.zone,
                         ref.name,
                         machine.id,
--- a/src/cloverplank/fleet/returning.py
+++ b/src/cloverplank/fleet/returning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cloverplank.kinds import MachineId
+from cloverplank.basic_types import MachineId
 from cloverplank.state import keys
 from cloverplank.state.keys import ReturnRecord
 from cloverplank.state.mirror import Mirror
--- a/src/cloverplank/fleet/rooming.py
+++ b/src/cloverplank/fleet/rooming.py
@@ -5,19 +5,25 @@
 from collections.abc import Collection
 from copy import copy
 
-from cloverplank.jobs.book import Book, Load
+from cloverplank.basic_types import MachineId, Zone
 from cloverplank.jobs.placing import Room
-from cloverplank.kinds import MachineId, Zone
+from cloverplank.jobs.store import JobStore, Load
 from cloverplank.wire.cloud import MachineType
 
 MOST = 10_000
 
 
 def room_of(
-    name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: Collection[str], book: Book, real: bool = True
+    name: MachineId,
+    zone: Zone,
+    kind: MachineType,
+    spot: bool,
+    images: Collection[str],
+    store: JobStore,
+    real: bool = True,
 ) -> Room:
     """A machine's size less all tasks that are on it as staged."""
-    load = book.load(name)
+    load = store.load(name)
     known = load.images.union(images) if images else load.images
     return Room(
         name,
@@ -36,16 +42,16 @@
 class Rooming:
     """Rounds ask for every machine, and most have not changed since the last one."""
 
-    def __init__(self, book: Book) -> None:
-        self._book = book
+    def __init__(self, store: JobStore) -> None:
+        self._store = store
         self._kept: dict[MachineId, tuple[Load, frozenset[str], MachineType, Room]] = {}
 
     def room(self, name: MachineId, zone: Zone, kind: MachineType, spot: bool, images: frozenset[str]) -> Room:
         """One that may be filled: each caller gets its own."""
-        load = self._book.load(name)
+        load = self._store.load(name)
         last = self._kept.get(name)
         if last is None or last[0] is not load or last[1] is not images or last[2] is not kind or last[3].spot != spot:
             if len(self._kept) >= MOST:
                 self._kept.clear()
-            last = self._kept[name] = (load, images, kind, room_of(name, zone, kind, spot, images, self._book))
+            last = self._kept[name] = (load, images, kind, room_of(name, zone, kind, spot, images, self._store))
         return copy(last[3])
--- a/src/cloverplank/fleet/roster.py
+++ b/src/cloverplank/fleet/roster.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from cloverplank.kinds import Clock, MachineId, Mono, Zone
+from cloverplank.basic_types import Clock, MachineId, Mono, Zone
 from cloverplank.wire.cloud import ListedMachine
 from cloverplank.wire.peers import MachineHint
 
--- a/src/cloverplank/jobs/dependencies.py
+++ b/src/cloverplank/jobs/dependencies.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from cloverplank.kinds import JobId
+from cloverplank.basic_types import JobId
 
 from .records import JobRecord, Phase
 from .waiting import WaitingJob, WaitingJobs
--- a/src/cloverplank/jobs/headroom.py
+++ b/src/cloverplank/jobs/headroom.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Struct, field
 
-from cloverplank.kinds import WallMs, Zone
+from cloverplank.basic_types import WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
 from .placing import Rooms, Turn
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from cloverplank.kinds import JobId, Zone
+from cloverplank.basic_types import JobId, Zone
 
 from .placing import TINY, Rooms, Turn, zone_cap
 from .records import JobRecord
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from cloverplank.kinds import MachineId, WallMs, Zone
+from cloverplank.basic_types import MachineId, WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
 from .dependencies import GUESS, RANKS, Claim, own_claim
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Struct, field
 
-from cloverplank.kinds import Attempt, JobId, MachineId, TaskRef, WallMs, Zone
+from cloverplank.basic_types import Attempt, JobId, MachineId, TaskRef, WallMs, Zone
 from cloverplank.wire.users import JobSpec
 
 from . import ranges
--- a/src/cloverplank/jobs/book.py
+++ b/src/cloverplank/jobs/store.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct, field
 
-from cloverplank.kinds import JobId, MachineId, Mono, Stamp
+from cloverplank.basic_types import JobId, MachineId, Mono, Stamp
 from cloverplank.wire.statesvc import Condition
 
 from .records import Change, JobRecord, Phase, Run
@@ -34,7 +34,7 @@
             self.future.set_result(made)
 
 
-class JobView(Struct, eq=False):
+class CachedJob(Struct, eq=False):
     id: JobId
     record: JobRecord
     stamp: Stamp
@@ -63,53 +63,53 @@
 
 
 NOTHING = Load()
-MAX_TOUCHED = 10_000
-MAX_CALLED_OFF = 2_000
+MAX_CHANGE_COUNTS = 10_000
+MAX_CANCEL_HINTS = 2_000
 
 
-class Book:
+class JobStore:
     def __init__(self) -> None:
-        self.jobs: dict[JobId, JobView] = {}
+        self.jobs: dict[JobId, CachedJob] = {}
         self.by_machine: dict[MachineId, set[JobId]] = {}
-        # Rounds ask for every machine; only those that a change touched are counted again.
+        # Rounds ask for every machine; only those that a change concerns are counted again.
         self._loads: dict[MachineId, Load] = {}
         self._changes, self._forgot = 0, 0
-        self._touched: dict[MachineId, int] = {}
-        self._called_off: dict[JobId, Mono] = {}  # by a peer's word, with when it came
+        self._change_counts: dict[MachineId, int] = {}
+        self._cancel_hints: dict[JobId, Mono] = {}  # by a peer's word, with when it came
         self.fresh_at: Callable[[], Mono] = lambda: Mono(-1e9)  # all changes made before this moment are here
-        self.changed: Callable[[JobView | None, JobId], None] = lambda view, job: None
+        self.changed: Callable[[CachedJob | None, JobId], None] = lambda view, job: None
 
-    def __iter__(self) -> Iterable[JobView]:
+    def __iter__(self) -> Iterable[CachedJob]:
         return iter(self.jobs.values())
 
-    def get(self, job: JobId) -> JobView | None:
+    def get(self, job: JobId) -> CachedJob | None:
         return self.jobs.get(job)
 
-    def call_off(self, job: JobId, now: Mono) -> None:
+    def hint_cancelled(self, job: JobId, now: Mono) -> None:
         """A peer says that the job's cancellation is committed. Its tasks are stopped and none is started, before
         the state service tells us or although it does not. Nothing else rests on it: the record stays as it is."""
         view = self.jobs.get(job)
-        if job in self._called_off or (view is not None and view.record.phase is not Phase.OPEN):
+        if job in self._cancel_hints or (view is not None and view.record.phase is not Phase.OPEN):
             return
-        while len(self._called_off) >= MAX_CALLED_OFF:
-            del self._called_off[next(iter(self._called_off))]
-        self._called_off[job] = now
+        while len(self._cancel_hints) >= MAX_CANCEL_HINTS:
+            del self._cancel_hints[next(iter(self._cancel_hints))]
+        self._cancel_hints[job] = now
         if view is not None:
             for name in {**view.record.runs_on, **view.staged.runs_on}:
-                self._touch(MachineId(name))
+                self._count_change(MachineId(name))
             self.changed(view, job)
 
-    def called_off(self, job: JobId) -> bool:
+    def cancelled_by_hint(self, job: JobId) -> bool:
         """By a peer's word alone. What a peer says was committed before; so once all is here that was made before
         it said so, the record speaks for itself, and a wrong word has no effect any more."""
-        at = self._called_off.get(job)
+        at = self._cancel_hints.get(job)
         return at is not None and self.fresh_at() <= at
 
-    def wanted(self, view: JobView) -> bool:
+    def wanted(self, view: CachedJob) -> bool:
         """Tasks of the job may be started, and those that are there go on."""
-        return view.record.phase is Phase.OPEN and not self.called_off(view.id)
+        return view.record.phase is Phase.OPEN and not self.cancelled_by_hint(view.id)
 
-    def on(self, machine: MachineId) -> list[JobView]:
+    def on(self, machine: MachineId) -> list[CachedJob]:
         """Jobs that have tasks on the machine, as staged or as committed."""
         return [self.jobs[job] for job in self.by_machine.get(machine, ()) if job in self.jobs]
 
@@ -132,20 +132,20 @@
             found = self._loads[machine] = Load(cpus, gpus, memory_gb, total, frozenset(images))
         return found
 
-    def touched(self, machine: MachineId) -> int:
+    def change_count(self, machine: MachineId) -> int:
         """Another number after each change of a record that has, or had, tasks on the machine."""
-        return self._touched.get(machine, self._forgot)
+        return self._change_counts.get(machine, self._forgot)
 
-    def _touch(self, machine: MachineId) -> None:
+    def _count_change(self, machine: MachineId) -> None:
         self._loads.pop(machine, None)
         self._changes += 1
-        if len(self._touched) >= MAX_TOUCHED:
-            self._touched.clear()
+        if len(self._change_counts) >= MAX_CHANGE_COUNTS:
+            self._change_counts.clear()
             self._forgot = self._changes
-        self._touched[machine] = self._changes
+        self._change_counts[machine] = self._changes
 
-    def _index(self, view: JobView, record: JobRecord | None, staged: JobRecord | None) -> None:
-        """Counts a job anew that was `record` and `staged` before. Only machines on which it differs are touched: a
+    def _index(self, view: CachedJob, record: JobRecord | None, staged: JobRecord | None) -> None:
+        """Counts a job anew that was `record` and `staged` before, on those machines alone on which it differs: a
         commit of one task would else make all the others of a large array look new."""
         was, was_staged = _runs_on(record), _runs_on(staged)
         gone = self.jobs.get(view.id) is not view
@@ -162,7 +162,7 @@
             if same and not whole:
                 continue
             machine = MachineId(name)
-            self._touch(machine)
+            self._count_change(machine)
             if name in now or name in now_staged:
                 self.by_machine.setdefault(machine, set()).add(view.id)
             elif machine in self.by_machine:
@@ -170,7 +170,7 @@
                 if not self.by_machine[machine]:
                     del self.by_machine[machine]
 
-    def _restage(self, view: JobView) -> None:
+    def _restage(self, view: CachedJob) -> None:
         staged = view.record
         for pending in view.pending:
             staged = pending.change(staged) or staged
@@ -180,7 +180,7 @@
         """A committed record, from a watch, a read or an own commit. Older ones are passed over."""
         view = self.jobs.get(job)
         if view is None:
-            view = self.jobs[job] = JobView(job, record, stamp, record)
+            view = self.jobs[job] = CachedJob(job, record, stamp, record)
             self._index(view, None, None)
         elif stamp <= view.stamp:
             return
@@ -202,7 +202,7 @@
         view.pending.clear()
         self.changed(None, job)
 
-    def stage(self, view: JobView, pending: Pending) -> None:
+    def stage(self, view: CachedJob, pending: Pending) -> None:
         view.pending.append(pending)
         after = pending.change(view.staged) or view.staged
         if after.runs is view.staged.runs:
@@ -212,7 +212,7 @@
         staged, view.staged = view.staged, after
         self._index(view, view.record, staged)
 
-    def unstage(self, view: JobView, gone: list[Pending]) -> None:
+    def unstage(self, view: CachedJob, gone: list[Pending]) -> None:
         staged = view.staged
         view.pending = [p for p in view.pending if not any(p is g for g in gone)]
         self._restage(view)
--- a/src/cloverplank/jobs/waiting.py
+++ b/src/cloverplank/jobs/waiting.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct
 
-from cloverplank.kinds import JobId, Stamp
+from cloverplank.basic_types import JobId, Stamp
 
 from .records import WaitingRecord
 
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
+from cloverplank.basic_types import Clock
 from cloverplank.controller import Controller
-from cloverplank.kinds import Clock
 from cloverplank.net.client import Client
 from cloverplank.net.server import Server
 from cloverplank.net.sockets import Sockets
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from cloverplank.kinds import DRIFT
+from cloverplank.basic_types import DRIFT
 from cloverplank.settings import BadSettings
 
 # What the bound on answers without contact leaves below `cancel_s` at the least (a worker's own lateness, rounding),
--- a/src/cloverplank/state/client.py
+++ b/src/cloverplank/state/client.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Any
 
-from cloverplank.kinds import Clock, LeaseId, Mono
+from cloverplank.basic_types import Clock, LeaseId, Mono
 from cloverplank.net.messages import Http, NoAnswer, NotSent, Response
 from cloverplank.wire.codec import BadMessage, decode, encode
 from cloverplank.wire.statesvc import Changes, Commit, CommitAnswer, Lease, NewLease, Row, Rows
--- a/src/cloverplank/state/fresh.py
+++ b/src/cloverplank/state/fresh.py
@@ -8,10 +8,10 @@
 
 import asyncio
 
+from cloverplank.basic_types import Clock, JobId, Stamp
 from cloverplank.jobs.layout import read_job
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
 from cloverplank.jobs.waiting import WaitingJob
-from cloverplank.kinds import Clock, JobId, Stamp
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Commit, Condition
 
@@ -90,7 +90,7 @@
 
     def _conditions(self, job: JobId) -> list[Condition]:
         """That the job is as this controller knows it: under one key with this stamp, or under none."""
-        view = self._mirror.book.get(job)
+        view = self._mirror.store.get(job)
         if view is not None:
             return [Condition(keys.job(job), view.stamp)]
         waiting = self._mirror.waiting.get(job)
@@ -99,7 +99,7 @@
         return unknown_so_far(job)
 
     def _known(self, job: JobId) -> Found:
-        view = self._mirror.book.get(job)
+        view = self._mirror.store.get(job)
         return self._mirror.waiting.get(job) if view is None else view.record
 
     async def _answer(self, batch: dict[JobId, asyncio.Future], compared: dict[JobId, list[Condition]]) -> None:
@@ -138,7 +138,7 @@
     async def _read(self, job: JobId) -> Found:
         """Key by key in the order in which a job moves, so that one that moves meanwhile is not missed."""
         try:
-            if self._mirror.book.get(job) is None:
+            if self._mirror.store.get(job) is None:
                 row = await self._client.get(keys.waiting(job))
                 if row is not None:
                     return self._keep_waiting(job, decode(bytes(row.value), WaitingRecord), Stamp(row.version))
@@ -154,7 +154,7 @@
         except BadMessage as err:
             raise Unknown(str(err)) from err
         self._mirror.keep_final(job, final.phase)
-        self._mirror.book.remove(job, Stamp(row.version))
+        self._mirror.store.remove(job, Stamp(row.version))
         self._mirror.waiting.remove(job, Stamp(row.version))
         return final.phase
 
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -11,7 +11,7 @@
 BLOCKS = "cp/block/"
 JOBS = "cp/job/"
 FINALS = "cp/fin/"
-HIRES = "cp/hire/"
+RENTALS = "cp/hire/"
 RETURNS = "cp/ret/"
 WAITING = "cp/wait/"  # jobs that wait for others; versions without job chains don't read this prefix
 FORMAT = "cp/format"
@@ -46,8 +46,8 @@
     return [waiting(job_id), job(job_id), final(job_id)]
 
 
-def hire(name: str) -> str:
-    return HIRES + name
+def rental(name: str) -> str:
+    return RENTALS + name
 
 
 def returns(name: str) -> str:
@@ -74,14 +74,14 @@
 
 
 class BlockRecord(Struct, frozen=True):
-    """A grant. Its key is attached to the holder's lease; its stamp is the baton."""
+    """A grant. Its key is attached to the holder's lease; its stamp is the token."""
 
     zone: str
     node: str
     lease: int
 
 
-class HireRecord(Struct, frozen=True):
+class RentalRecord(Struct, frozen=True):
     """A rental, committed before the cloud is called."""
 
     type: str
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -8,19 +8,19 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from cloverplank.jobs.book import Book
+from cloverplank.basic_types import Clock, JobId, Mono, Stamp
 from cloverplank.jobs.dependencies import Claims, UpstreamState, state_of_phase
 from cloverplank.jobs.layout import CompactRecord, read_job
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
+from cloverplank.jobs.store import JobStore
 from cloverplank.jobs.waiting import WaitingJobs
-from cloverplank.kinds import Clock, JobId, Mono, Stamp
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Change
 
 from . import keys
 from .client import Lost, Refused, StateClient, Unknown
-from .keys import BlockRecord, FormatRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
+from .keys import BlockRecord, FormatRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
 
 log = logging.getLogger("cloverplank.state")
 
@@ -35,18 +35,18 @@
     (keys.FORMAT, FormatRecord),
     (keys.NODES, NodeRecord),
     (keys.BLOCKS, BlockRecord),
-    (keys.HIRES, HireRecord),
+    (keys.RENTALS, RentalRecord),
     (keys.RETURNS, ReturnRecord),
 )
 
 
 class Mirror:
-    def __init__(self, client: StateClient, book: Book, clock: Clock, gap_s: float) -> None:
+    def __init__(self, client: StateClient, store: JobStore, clock: Clock, gap_s: float) -> None:
         self._client = client
         self._clock = clock
         self.wait_s = WATCH_S
         self.gap_s = gap_s  # between two watches, so that they keep to their share of requests
-        self.book = book
+        self.store = store
         self.waiting = WaitingJobs()
         self.claims = Claims(self.waiting)
         self.values: dict[str, tuple[object, Stamp]] = {}
@@ -80,14 +80,14 @@
 
     def knows(self, job: JobId) -> bool:
         """The job was accepted, as far as this controller can tell without asking."""
-        return job in self.finals or job in self.book.jobs or job in self.waiting.jobs
+        return job in self.finals or job in self.store.jobs or job in self.waiting.jobs
 
     def upstream_state(self, job: JobId) -> UpstreamState:
         """What is committed of a job that another one needs."""
         final = self.finals.get(job)
         if final is not None:
             return state_of_phase(final)
-        view = self.book.get(job)
+        view = self.store.get(job)
         if view is not None:
             return state_of_phase(view.record.phase)
         return UpstreamState.UNFINISHED if job in self.waiting.jobs else UpstreamState.NOT_IN_MEMORY
@@ -111,7 +111,7 @@
                 record = read_job(value if isinstance(value, JobRecord | CompactRecord) else bytes(value))
                 if self.gone.get(key, 0) < stamp:
                     job = JobId(key[len(keys.JOBS) :])
-                    self.book.apply(job, record, stamp)
+                    self.store.apply(job, record, stamp)
                     if record.phase is not Phase.OPEN:
                         self.waiting.upstream_changed(job)
             elif key.startswith(keys.WAITING):
@@ -142,7 +142,7 @@
             for old in sorted(self.gone, key=lambda k: self.gone[k])[:2500]:
                 del self.gone[old]
         if key.startswith(keys.JOBS):
-            self.book.remove(JobId(key[len(keys.JOBS) :]), stamp)
+            self.store.remove(JobId(key[len(keys.JOBS) :]), stamp)
         elif key.startswith(keys.WAITING):
             self.waiting.remove(JobId(key[len(keys.WAITING) :]), stamp)
         elif key in self.values and self.values[key][1] < stamp:
@@ -171,7 +171,7 @@
                 if not rows.more or not rows.items:
                     break
                 after = rows.items[-1].key
-        jobs = [*map(keys.job, self.book.jobs), *map(keys.waiting, self.waiting.jobs)]
+        jobs = [*map(keys.job, self.store.jobs), *map(keys.waiting, self.waiting.jobs)]
         for key in [*self.values, *jobs]:
             if key not in seen:
                 self.delete(key, Stamp(first))
@@ -185,7 +185,7 @@
             try:
                 if not self.loaded:
                     await self._load()
-                    log.info("mirror: loaded at revision %d, %d open jobs", self.revision, len(self.book.jobs))
+                    log.info("mirror: loaded at revision %d, %d open jobs", self.revision, len(self.store.jobs))
                     self.changed("")
                 sent = self._clock.mono()
                 changes = await self._client.watch(keys.ROOT, self.revision, self.wait_s)
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -15,10 +15,10 @@
 
 from msgspec import Struct
 
-from cloverplank.jobs.book import Book, JobView, Pending
+from cloverplank.basic_types import Clock, JobId, Mono, Stamp
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import FinalRecord, JobRecord
-from cloverplank.kinds import Clock, JobId, Mono, Stamp
+from cloverplank.jobs.store import CachedJob, JobStore, Pending
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Commit, CommitAnswer, Condition, Delete, Put
 
@@ -64,10 +64,10 @@
     def __init__(self, client: StateClient, mirror: Mirror, clock: Clock, space: RecordSpace | None = None) -> None:
         self._client = client
         self._mirror = mirror
-        self._book: Book = mirror.book
+        self._store: JobStore = mirror.store
         self._clock = clock
         self._space = space or RecordSpace(LARGEST_VALUE, LARGEST_VALUE, mirror.compact_allowed)
-        self._dirty: dict[JobId, JobView] = {}
+        self._dirty: dict[JobId, CachedJob] = {}
         self._raw: list[_Raw] = []
         self._flying = 0
         self._tasks: set[asyncio.Task] = set()
@@ -94,16 +94,16 @@
 
     # -- what is asked of it
 
-    def change(self, view: JobView, pending: Pending) -> None:
-        if self._book.get(view.id) is not view:
+    def change(self, view: CachedJob, pending: Pending) -> None:
+        if self._store.get(view.id) is not view:
             # The job has ended meanwhile; a commit on the view that was would be lost again and again.
             pending.settle(False)
             return
-        self._book.stage(view, pending)
+        self._store.stage(view, pending)
         self._dirty[view.id] = view
         self._wake.set()
 
-    async def changed(self, view: JobView, pending: Pending) -> bool | None:
+    async def changed(self, view: CachedJob, pending: Pending) -> bool | None:
         pending.future = asyncio.get_running_loop().create_future()
         self.change(view, pending)
         return await pending.future
@@ -130,9 +130,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _next(self, now: Mono) -> tuple[Urgency, JobView | _Raw] | None:
+    def _next(self, now: Mono) -> tuple[Urgency, CachedJob | _Raw] | None:
         best: tuple[int, int, float] | None = None
-        found: JobView | _Raw | None = None
+        found: CachedJob | _Raw | None = None
         for raw in self._raw:
             if best is None or raw.urgency < best[0]:
                 best, found = (raw.urgency, 0, 0.0), raw
@@ -236,7 +236,7 @@
             else:
                 self._mirror.delete(change.key, stamp)
 
-    def _build(self, view: JobView) -> tuple[Commit, list[Pending]] | None:
+    def _build(self, view: CachedJob) -> tuple[Commit, list[Pending]] | None:
         record: JobRecord = view.record
         conditions = {keys.job(view.id): view.stamp}
         used: list[Pending] = []
@@ -255,7 +255,7 @@
             used.append(pending)
             conditions.update((c.key, Stamp(c.version)) for c in pending.conditions)
         if dropped:
-            self._book.unstage(view, dropped)
+            self._store.unstage(view, dropped)
         if not used:
             return None
         if record.finished():
@@ -267,7 +267,7 @@
             changes = [Put(keys.job(view.id), self._space.stored(record))]
         return Commit([Condition(k, s) for k, s in conditions.items()], changes), used
 
-    async def _send_job(self, view: JobView) -> None:
+    async def _send_job(self, view: CachedJob) -> None:
         try:
             if view.stale and not await self._reread(view):
                 self._client.changes.force(-BOOKED)
@@ -284,7 +284,7 @@
                 if keys.job(view.id) in answer.failed or "?" in answer.failed:
                     view.stale = True
                 lost = [p for p in used if any(c.key in answer.failed for c in p.conditions)]
-                self._book.unstage(view, lost)
+                self._store.unstage(view, lost)
                 for pending in lost:
                     pending.settle(None)
                 return
@@ -293,7 +293,7 @@
                 pending.settle(True)
             # The watch may have told of this commit before its answer came: the staged record is made
             # anew in any case, or it would keep what was staged on top of it.
-            self._book.unstage(view, used)
+            self._store.unstage(view, used)
             self._told(commit, Stamp(answer.revision))
         except Lost as err:
             self._hold(view)
@@ -304,7 +304,7 @@
                 view.hold_until - self._clock.mono(),
             )
             gone = list(view.pending)
-            self._book.unstage(view, gone)
+            self._store.unstage(view, gone)
             for pending in gone:
                 pending.settle(False)
         except Exception:
@@ -314,14 +314,14 @@
             self._flying -= 1
             self._wake.set()
 
-    def _hold(self, view: JobView) -> None:
+    def _hold(self, view: CachedJob) -> None:
         """What was refused once is refused again as long as nothing changes; it must not take everybody's changes."""
         pause = min(LONGEST_HOLD_S, FIRST_HOLD_S * 2**view.refusals)
         view.refusals += 1
         view.hold_until = Mono(self._clock.mono() + pause)
         view.stale = True
 
-    async def _reread(self, view: JobView) -> bool:
+    async def _reread(self, view: CachedJob) -> bool:
         key = keys.job(view.id)
         try:
             row = await self._client.get(key)
@@ -334,9 +334,9 @@
         view.stale = False
         return True
 
-    async def _read_final(self, view: JobView) -> None:
+    async def _read_final(self, view: CachedJob) -> None:
         row = await self._client.get(keys.final(view.id))
         if row is None:
             return
         self._mirror.keep_final(view.id, decode(bytes(row.value), FinalRecord).phase)
-        self._book.remove(view.id, Stamp(row.version))
+        self._store.remove(view.id, Stamp(row.version))
--- a/src/cloverplank/state/session.py
+++ b/src/cloverplank/state/session.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from cloverplank.kinds import DRIFT, Baton, Clock, LeaseId, Mono, NodeId, Stamp, Zone
+from cloverplank.basic_types import DRIFT, Clock, FencingToken, LeaseId, Mono, NodeId, Stamp, Zone
 from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
 
 from . import keys
@@ -50,7 +50,7 @@
         self.lease: LeaseId | None = None
         self.standing = Standing.JOINING
         self.touched_at = Mono(-1e9)  # when the last renewal that was granted was sent
-        self.shy_until = Mono(-1e9)  # until then, no leadership and no blocks are sought
+        self.declines_grants_until = Mono(-1e9)  # until then, no leadership and no blocks are sought
         self.changed: Callable[[], None] = lambda: None
 
     # -- questions
@@ -90,12 +90,12 @@
             return None  # not yet known: all that was committed before
         return found[1] if self.check() is Standing.MEMBER else None
 
-    def grant(self, zone: Zone) -> Baton | None:
-        """The baton of a block that this controller was granted, whether or not it may still use it."""
+    def grant(self, zone: Zone) -> FencingToken | None:
+        """The token of a block that this controller was granted, whether or not it may still use it."""
         found = self._mirror.value(keys.block(zone), BlockRecord)
         if found is None or self.lease is None or found[0].lease != self.lease:
             return None
-        return Baton(found[1])
+        return FencingToken(found[1])
 
     def holder(self, zone: str) -> NodeId | None:
         found = self._mirror.value(keys.block(zone), BlockRecord)
@@ -165,7 +165,7 @@
 
     async def seek_leadership(self) -> bool:
         """Takes the leader's key where nobody holds it."""
-        if self.lease is None or self.check() is not Standing.MEMBER or self._clock.mono() < self.shy_until:
+        if self.lease is None or self.check() is not Standing.MEMBER or self._clock.mono() < self.declines_grants_until:
             return False
         if not self._mirror.loaded or self._mirror.stamp(keys.LEADER):
             return False
--- a/src/cloverplank/state/transitions.py
+++ b/src/cloverplank/state/transitions.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+from cloverplank.basic_types import JobId, WallMs
 from cloverplank.jobs.records import FinalRecord, Phase
 from cloverplank.jobs.waiting import WaitingJob
-from cloverplank.kinds import JobId, WallMs
 from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
 
 from . import keys
--- a/tests/production/record.py
+++ b/tests/production/record.py
@@ -4,6 +4,7 @@
 
     python3 -m tests.production.record
 
+Types are named as production names them; the values are made with today's classes, whatever they are called.
 The recording is test data from then on; it is not made again when the code changes.
 """
 
@@ -39,7 +40,7 @@
 def examples() -> dict[str, tuple[str, Any]]:
     """Name of the example -> name of its type, value."""
     from cloverplank.jobs.records import Eviction, FinalRecord, JobRecord, Phase, Run
-    from cloverplank.state.keys import BlockRecord, HireRecord, LeaderRecord, NodeRecord, ReturnRecord
+    from cloverplank.state.keys import BlockRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
     from cloverplank.wire.cloud import MachineType, MachineTypes
     from cloverplank.wire.codec import decode, encode
     from cloverplank.wire.peers import Hint, MachineHint
@@ -61,8 +62,8 @@
         "node": ("NodeRecord", NodeRecord("a", 7)),
         "leader": ("LeaderRecord", LeaderRecord("plank-1", 7)),
         "block": ("BlockRecord", BlockRecord("a", "plank-1", 7)),
-        "hire, asked": ("HireRecord", HireRecord("g8", "a", True, 2, 1_700_000_000_000)),
-        "hire, answered": ("HireRecord", HireRecord("g8", "a", True, 2, 1_700_000_000_000, ["m-000231", "m-000232"])),
+        "hire, asked": ("HireRecord", RentalRecord("g8", "a", True, 2, 1_700_000_000_000)),
+        "hire, answered": ("HireRecord", RentalRecord("g8", "a", True, 2, 1_700_000_000_000, ["m-000231", "m-000232"])),
         "return, empty": ("ReturnRecord", ReturnRecord(1_700_000_000_000)),
         "return": ("ReturnRecord", ReturnRecord(1_700_000_000_000, {"m-000231": "idle"}, ["m-000232"])),
         "types": (
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -71,7 +71,7 @@
         await submit_in_turn(world, specs)
         assert [await state_of(world, spec) for spec in specs[1:]] == ["pending"] * 3
         for controller, _ in world.controllers.values():
-            assert not {spec["id"] for spec in specs[1:]} & controller.book.jobs.keys()
+            assert not {spec["id"] for spec in specs[1:]} & controller.store.jobs.keys()
         assert [await end_of(world, spec) for spec in specs] == ["done"] * 4
         check(world)
 
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -111,7 +111,7 @@
 
 def test_forgotten_and_invented(monkeypatch: pytest.MonkeyPatch) -> None:
     async def swapped(self, job):  # noqa: ANN001, ANN202
-        known = self._mirror.book.get(job) is not None
+        known = self._mirror.store.get(job) is not None
         return answer(404) if known else answer(200, JobAnswer(job, "pending"))
 
     monkeypatch.setattr(users.Users, "_get", swapped)
@@ -183,7 +183,7 @@
         return session.Standing.MEMBER if found is session.Standing.HOLDING_ON else found
 
     monkeypatch.setattr(session.Session, "check", member)
-    monkeypatch.setattr("cloverplank.jobs.book.Book.call_off", lambda self, job, now: None)
+    monkeypatch.setattr("cloverplank.jobs.store.JobStore.hint_cancelled", lambda self, job, now: None)
 
     async def play() -> set[str]:
         world = World(seed=5)
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -9,7 +9,7 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
-from cloverplank.kinds import DRIFT, JobId
+from cloverplank.basic_types import DRIFT, JobId
 from cloverplank.settings import BadSettings
 from cloverplank.settings.platform import contact_bound, parse_platform
 from cloverplank.state import session
@@ -67,7 +67,7 @@
 
 def test_a_holder_whose_lease_is_gone_answers_no_worker() -> None:
     """Its lease had ended for certain; until its next round it answered reports as if it held its block, since a
-    grant that is none equalled a baton that was never changed."""
+    grant that is none equalled a token that was never changed."""
 
     async def work() -> None:
         world = World(seed=42)
@@ -125,7 +125,7 @@
         await asyncio.sleep(25)
         job = JobId(spec["id"])
         for controller, _ in world.controllers.values():
-            controller.book.call_off(job, controller._clock.mono())
+            controller.store.hint_cancelled(job, controller._clock.mono())
         await asyncio.sleep(0.3)
         stopped = 3 - sum(len(ms) for ms in world.rules.where.values())
         assert stopped == 3
@@ -180,7 +180,7 @@
         real(self, *args[:-1], 1000.0)
 
     monkeypatch.setattr(session.Session, "__init__", lifted)
-    monkeypatch.setattr("cloverplank.jobs.book.Book.call_off", lambda self, job, now: None)
+    monkeypatch.setattr("cloverplank.jobs.store.JobStore.hint_cancelled", lambda self, job, now: None)
     assert "ran_cancelled" in play(the_gap, 308, 1).rules.broken
 
 
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -7,10 +7,10 @@
 import msgspec
 import pytest
 
+from cloverplank.basic_types import FencingToken, MachineId, Mono, TaskRef, Zone
 from cloverplank.fleet.errors import Unanswered
 from cloverplank.fleet.holder import REAPS
 from cloverplank.fleet.machines import Health, Machine
-from cloverplank.kinds import Baton, MachineId, Mono, TaskRef, Zone
 from cloverplank.net.messages import NoRoom
 from cloverplank.wire.workers import Report, ReportedTask
 
@@ -31,31 +31,31 @@
     """The answer to /orders can overtake the answer to a report; a report can't."""
     one = machine()
     ref = TaskRef("run-1", 0, 1)  # type: ignore[arg-type]
-    one.take(report(1, 1), Baton(5), Mono(1.0), True)
+    one.take(report(1, 1), FencingToken(5), Mono(1.0), True)
     one.in_answer.add(ref)
-    one.take(report(1, 2), Baton(5), Mono(1.1), False)
+    one.take(report(1, 2), FencingToken(5), Mono(1.1), False)
     assert one.may_start_late(ref)
-    one.take(report(1, 3), Baton(5), Mono(2.0), True)
+    one.take(report(1, 3), FencingToken(5), Mono(2.0), True)
     assert not one.may_start_late(ref)
 
 
 def test_orders_without_an_answer_may_come_late_until_session_or_baton_moves_on() -> None:
     one = machine()
     ref = TaskRef("run-1", 0, 1)  # type: ignore[arg-type]
-    one.take(report(1, 1), Baton(5), Mono(1.0), True)
-    one.unresolved[ref] = (1, Baton(5), Mono(1.0))
-    one.take(report(1, 2), Baton(5), Mono(2.0), True)
+    one.take(report(1, 1), FencingToken(5), Mono(1.0), True)
+    one.unresolved[ref] = (1, FencingToken(5), Mono(1.0))
+    one.take(report(1, 2), FencingToken(5), Mono(2.0), True)
     assert one.may_start_late(ref)
-    one.take(report(1, 3, token=6), Baton(6), Mono(3.0), True)
+    one.take(report(1, 3, token=6), FencingToken(6), Mono(3.0), True)
     assert not one.may_start_late(ref)
-    one.unresolved[ref] = (1, Baton(6), Mono(3.0))
-    one.take(report(2, 4, token=6), Baton(6), Mono(4.0), True)
+    one.unresolved[ref] = (1, FencingToken(6), Mono(3.0))
+    one.take(report(2, 4, token=6), FencingToken(6), Mono(4.0), True)
     assert not one.may_start_late(ref)
 
 
 def test_older_reports_are_passed_over() -> None:
     one = machine()
-    one.take(report(2, 7), Baton(5), Mono(1.0), True)
+    one.take(report(2, 7), FencingToken(5), Mono(1.0), True)
     assert not one.newer(report(2, 7)) and not one.newer(report(1, 99)) and one.newer(report(3, 1))
 
 
@@ -63,7 +63,7 @@
     one = machine()
     one.answered_at = Mono(100.0)
     assert one.gone_at(12.0, Mono(140.0)) == 140.0
-    one.answered_at = Mono(139.0)  # by us, before it showed our baton: this may have renewed its lease, too
+    one.answered_at = Mono(139.0)  # by us, before it showed our token: this may have renewed its lease, too
     assert 151.0 < one.gone_at(12.0, Mono(140.0)) < 152.0
     one.answered_at = Mono(100.0)
     one.fenced = True
@@ -120,7 +120,7 @@
 
 
 def test_a_new_holder_fences_workers_whose_session_it_does_not_know() -> None:
-    """Orders for a wrong session are refused whole, the baton with them: the former holder, refused by
+    """Orders for a wrong session are refused whole, the token with them: the former holder, refused by
     the state service alone, went on answering for seconds."""
 
     async def play() -> None:
@@ -137,7 +137,7 @@
         await asyncio.sleep(0.5)
         block = next(iter(new[0].blocks.values()))
         workers = [m for m in world.machines.values() if m.alive and m.up_at <= world.now()]
-        assert workers and all(m.baton == block.baton for m in workers)
+        assert workers and all(m.token == block.token for m in workers)
         check(world)
 
     run(play())
@@ -151,7 +151,7 @@
         one.reported = (1, number)
     assert not one.fresh(report(1, 5)) and not one.fresh(report(1, 2))
     # Overtaken by the answer to an order: older than what we know, but a worker waits for its answer.
-    one.take(report(1, 9), Baton(5), Mono(1.0), False)
+    one.take(report(1, 9), FencingToken(5), Mono(1.0), False)
     assert one.fresh(report(1, 7)) and not one.newer(report(1, 7))
 
 
@@ -426,7 +426,7 @@
         now = block.clock.mono()
         for number in range(30):
             one = block.machine(f"m-x{number}")
-            one.health, one.heard_at, one.reported_at = Health.QUIET, now, Mono(now - world.lease_s)
+            one.health, one.heard_at, one.reported_at = Health.SUSPECT, now, Mono(now - world.lease_s)
             one.since = one.reported_at
         block.since = Mono(now - 100.0)
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from cloverplank.basic_types import Mono, Stamp, WallMs
 from cloverplank.jobs import limits, placing, ranges, records
-from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.limits import Limit
 from cloverplank.jobs.placing import Room, Turn
 from cloverplank.jobs.records import Ended, JobRecord, Phase, Placement
-from cloverplank.kinds import Mono, Stamp, WallMs
+from cloverplank.jobs.store import JobStore, Pending
 from cloverplank.wire.codec import encode
 from cloverplank.wire.users import decode_submission
 
@@ -210,16 +210,16 @@
 
 def test_a_commit_that_the_watch_tells_before_its_answer_is_not_staged_twice() -> None:
     """Seen on a quiet day: two replicas counted as placed for ever, on top of two that were."""
-    book = Book()
+    store = JobStore()
     record = records.allot({"a": 4})(JobRecord(spec(pieces=4, shape="service"), 0))
     assert record is not None
-    book.apply(record.id, record, Stamp(1))
-    view = book.jobs[record.id]
+    store.apply(record.id, record, Stamp(1))
+    view = store.jobs[record.id]
     pending = Pending(records.place([Placement("m-1", "a", 2)], 1), 3, Mono(0.0))  # type: ignore[arg-type]
-    book.stage(view, pending)
-    book.apply(record.id, view.staged, Stamp(2))  # by the watch
+    store.stage(view, pending)
+    store.apply(record.id, view.staged, Stamp(2))  # by the watch
     assert view.staged.placed() == 2
-    book.unstage(view, [pending])
+    store.unstage(view, [pending])
     assert view.staged == view.record and view.staged.missing_count() == 2
 
 
@@ -228,7 +228,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.book = Book()
+        self.store = JobStore()
         self.stamp = 0
         self.seen: dict = {}
         for number in range(2):
@@ -238,47 +238,47 @@
 
     def commit(self, record: JobRecord) -> None:
         self.stamp += 1
-        self.book.apply(record.id, record, Stamp(self.stamp))
+        self.store.apply(record.id, record, Stamp(self.stamp))
 
     @rule(number=st.integers(0, 1), machine=st.sampled_from("xyz"), count=st.integers(1, 5))
     def place(self, number: int, machine: str, count: int) -> None:
-        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        view = self.store.jobs[f"run-{number}"]  # type: ignore[index]
         change = records.place([Placement(machine, "a", count)], view.staged.next)  # type: ignore[arg-type]
-        self.book.stage(view, Pending(change, 3, Mono(0.0)))
+        self.store.stage(view, Pending(change, 3, Mono(0.0)))
 
     @rule(number=st.integers(0, 1), machine=st.sampled_from("xyz"))
     def evict(self, number: int, machine: str) -> None:
-        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
-        self.book.stage(view, Pending(records.evict(machine, WallMs(1)), 3, Mono(0.0)))
+        view = self.store.jobs[f"run-{number}"]  # type: ignore[index]
+        self.store.stage(view, Pending(records.evict(machine, WallMs(1)), 3, Mono(0.0)))
 
     @rule(number=st.integers(0, 1), merged=st.integers(0, 3), answered=st.booleans())
     def settle(self, number: int, merged: int, answered: bool) -> None:
         """Some of what is pending is committed, or dropped."""
-        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
+        view = self.store.jobs[f"run-{number}"]  # type: ignore[index]
         some = view.pending[:merged]
         if answered:
             record = view.record
             for pending in some:
                 record = pending.change(record) or record
             self.commit(record)
-        self.book.unstage(view, some)
+        self.store.unstage(view, some)
 
     @rule(number=st.integers(0, 1))
     def cancel(self, number: int) -> None:
-        view = self.book.jobs[f"run-{number}"]  # type: ignore[index]
-        self.book.stage(view, Pending(records.cancel(), 1, Mono(0.0)))
+        view = self.store.jobs[f"run-{number}"]  # type: ignore[index]
+        self.store.stage(view, Pending(records.cancel(), 1, Mono(0.0)))
 
     @invariant()
     def what_changed_on_a_machine_shows(self) -> None:
         """Reports without news are answered without a look at the jobs: a change that did not show was never told."""
         for machine in "xyz":
-            views = self.book.jobs.values()
+            views = self.store.jobs.values()
             state = [
                 (v.id, v.record.phase, v.record.runs_on.get(machine), v.staged.runs_on.get(machine))
                 for v in views
                 if machine in v.record.runs_on or machine in v.staged.runs_on
             ]
-            number = self.book.touched(machine)  # type: ignore[arg-type]
+            number = self.store.change_count(machine)  # type: ignore[arg-type]
             if machine in self.seen:
                 assert self.seen[machine][0] != number or self.seen[machine][1] == state
             self.seen[machine] = (number, state)
@@ -287,10 +287,10 @@
     def loads_and_index_are_those_of_the_records(self) -> None:
         """A machine stayed in the index of a job that had left it before the commit: busy for ever."""
         for machine in "xyz":
-            views = list(self.book.jobs.values())
+            views = list(self.store.jobs.values())
             on = {v.id for v in views if machine in v.record.runs_on or machine in v.staged.runs_on}
-            assert {v.id for v in self.book.on(machine)} == on  # type: ignore[arg-type]
-            load = self.book.load(machine)  # type: ignore[arg-type]
+            assert {v.id for v in self.store.on(machine)} == on  # type: ignore[arg-type]
+            load = self.store.load(machine)  # type: ignore[arg-type]
             tasks = [(v, sum(ranges.count(r.tasks) for r in v.staged.runs if r.machine == machine)) for v in views]
             assert load.tasks == sum(n for _, n in tasks)
             assert load.cpus == sum(v.record.spec.cpus * n for v, n in tasks)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,7 +11,7 @@
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Eviction, FinalRecord, JobRecord, Phase, Placement, Run, WaitingRecord, place
 from cloverplank.state import keys, transitions
-from cloverplank.state.keys import HireRecord, ReturnRecord
+from cloverplank.state.keys import RentalRecord, ReturnRecord
 from cloverplank.wire.codec import BadMessage, encode, json_size
 
 from .production import messages
@@ -112,7 +112,7 @@
 
 NAMES = [f"m-{n:06d}" for n in range(50)]
 RECORDS_AT_THEIR_LARGEST = {
-    "rental": HireRecord("t" * 60, "z" * 60, True, 50, 1_700_000_000_000, NAMES),
+    "rental": RentalRecord("t" * 60, "z" * 60, True, 50, 1_700_000_000_000, NAMES),
     "returns": ReturnRecord(1_700_000_000_000, {name: "never up" for name in NAMES[:48]}, []),
     "returned": ReturnRecord(1_700_000_000_000, {}, NAMES[:48]),
     "final": FinalRecord(Phase.CANCELLED, 100_000),
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -6,10 +6,10 @@
 
 from msgspec import Raw
 
+from cloverplank.basic_types import Clock, JobId
 from cloverplank.jobs import records
-from cloverplank.jobs.book import Book, Pending
 from cloverplank.jobs.records import JobRecord
-from cloverplank.kinds import Clock, JobId
+from cloverplank.jobs.store import JobStore, Pending
 from cloverplank.net.messages import Response, answer
 from cloverplank.state.client import Budget, StateClient
 from cloverplank.state.mirror import Mirror
@@ -46,7 +46,7 @@
         clock = Clock(asyncio.get_running_loop().time)
         service = Service()
         client = StateClient(service, "x", clock, Budget(1000.0, clock), Budget(RATE, clock))
-        queue = CommitQueue(client, Mirror(client, Book(), clock, 1.0), clock)
+        queue = CommitQueue(client, Mirror(client, JobStore(), clock, 1.0), clock)
         work = [asyncio.ensure_future(queue.run())]
         work += [
             asyncio.ensure_future(queue.commit(Commit([], [Put(f"other/{n}", n)]), Urgency.PLACE)) for n in range(60)
@@ -78,7 +78,7 @@
         await world.submit(spec)
         controller, _ = world.controllers["c-0"]
         await asyncio.sleep(1)
-        view = controller.book.get(JobId(spec["id"]))
+        view = controller.store.get(JobId(spec["id"]))
         assert view is not None
         assert await world.follow(spec) == "done"
         await asyncio.sleep(1)
@@ -143,14 +143,14 @@
         clock = Clock(asyncio.get_running_loop().time)
         service = TooLarge()
         client = StateClient(service, "x", clock, Budget(1000.0, clock), Budget(RATE, clock))
-        mirror = Mirror(client, Book(), clock, 1.0)
+        mirror = Mirror(client, JobStore(), clock, 1.0)
         queue = CommitQueue(client, mirror, clock)
         mirror.put("cp/job/run-000001", JobRecord(spec(), 1), 3)
         work = [asyncio.ensure_future(queue.run())]
 
         async def insist() -> None:
             while True:  # as each round of decisions does
-                view = mirror.book.get(JobId("run-000001"))
+                view = mirror.store.get(JobId("run-000001"))
                 if not view.pending:
                     queue.change(view, Pending(records.cancel(), int(Urgency.PLACE), clock.mono()))
                 await asyncio.sleep(0.05)
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cloverplank.basic_types import Clock, WallMs, Zone
 from cloverplank.fleet import renting
 from cloverplank.fleet.preempting import Turnover
 from cloverplank.fleet.renting import Kind
@@ -10,7 +11,6 @@
 from cloverplank.jobs.limits import Shortage
 from cloverplank.jobs.placing import Room, Rooms, Targets, Turn
 from cloverplank.jobs.records import JobRecord
-from cloverplank.kinds import Clock, WallMs, Zone
 from cloverplank.wire.cloud import ListedMachine, MachineType
 
 from .test_jobs import spec
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -20,12 +20,12 @@
     name: getattr(module, name)
     for module, names in (
         (records, ("JobRecord", "FinalRecord")),
-        (keys, ("NodeRecord", "LeaderRecord", "BlockRecord", "HireRecord", "ReturnRecord")),
+        (keys, ("NodeRecord", "LeaderRecord", "BlockRecord", "ReturnRecord")),
         (cloud, ("MachineTypes",)),
         (peers, ("Hint",)),
     )
     for name in names
-}
+} | {"HireRecord": keys.RentalRecord}
 
 
 @pytest.mark.parametrize("name", RECORDING)
--- a/tests/world/worker.py
+++ b/tests/world/worker.py
@@ -33,7 +33,7 @@
     up_at: float
     stint: int = 1
     tally: int = 0
-    baton: int = 0
+    token: int = 0
     tasks: dict = field(default_factory=dict)
     released: bool = False
     taken: bool = False
@@ -113,7 +113,7 @@
             "loaners": self.spot,
             "stint": self.stint,
             "tally": self.tally,
-            "baton": self.baton,
+            "baton": self.token,
             "warning_s": None if self.warning_until is None else max(0.0, self.warning_until - now),
             "pieces": [
                 {"piece": t.name, "try": t.attempt, "status": t.status}
@@ -162,11 +162,11 @@
             await asyncio.sleep(0.1)
         self.step()
         asked = msgspec.msgpack.decode(body)
-        if asked["baton"] < self.baton or asked["stint"] != self.stint:
+        if asked["baton"] < self.token or asked["stint"] != self.stint:
             return 409, self.report()
-        if asked["baton"] > self.baton:
+        if asked["baton"] > self.token:
             self.changed.set()
-        self.baton = asked["baton"]
+        self.token = asked["baton"]
         self.execute(asked["orders"])
         return 200, self.report()
 
@@ -196,10 +196,10 @@
                 answer = msgspec.msgpack.decode(response.body) if response.body else {}
                 if response.status == 200:
                     pause = world.report_s * world.random.uniform(0.75, 1.25)
-                    if answer["baton"] >= self.baton and stint == self.stint:
-                        if answer["baton"] > self.baton:
+                    if answer["baton"] >= self.token and stint == self.stint:
+                        if answer["baton"] > self.token:
                             self.changed.set()
-                        self.baton = answer["baton"]
+                        self.token = answer["baton"]
                         self.lease_from = max(self.lease_from, sent)
                         self.execute(answer["orders"])
                 elif response.status == 421 and answer.get("foreman") in world.labels:
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from cloverplank.basic_types import Clock
 from cloverplank.controller import Controller
-from cloverplank.kinds import Clock
 from cloverplank.net.messages import NoAnswer, NotSent, Request, Response
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import parse_platform
