Allotments that only shrink with the tasks that ended are not committed

Cause: after each end of a task the leader committed a smaller allotment, at the urgency of placements. Ruled out: room, team limits, size of records, refusals. Such an allotment changes nothing that the job may hold, so it is left. Commits that were passed over for 10 s go first of their urgency.

--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -192,7 +192,7 @@
                 kept = True
                 shortages += self._keep_room(ready, rooms, rentable)
             record = turn.record
-            if not record.missing_count() and record.allot == record.by_zone:
+            if not record.missing_count():
                 continue  # all it wants is placed
             view = self._store.jobs[record.id]
             try:
@@ -202,7 +202,7 @@
                 log.exception("job %s can't be split", view.id)
                 continue
             shortages += short
-            if allotment != record.allot and not view.planned("allot", "place"):
+            if not team_limits.covered(record, allotment) and not view.planned("allot", "place"):
                 pending = Pending(
                     records.allot(allotment), int(Urgency.PLACE), self._clock.mono(), condition, plan="allot"
                 )
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -79,6 +79,17 @@
     return result
 
 
+def covered(record: JobRecord, allotment: dict[str, int]) -> bool:
+    """The allotment that the record has allows as much in each zone, and no more counts against the team.
+
+    As tasks end, what a job may still put on machines grows smaller by itself. A commit that says so would change
+    nothing, and there would be one for each task.
+    """
+    if record.held() > sum(allotment.values()):
+        return False
+    return all(record.allot.get(zone, 0) >= most for zone, most in allotment.items())
+
+
 def by_weight(amount: int, weights: dict[Zone, float], caps: dict[Zone, int]) -> dict[Zone, int]:
     """Splits an amount by static weights, largest first; what one zone can't take goes to the next."""
     result = dict.fromkeys(weights, 0)
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -44,6 +44,8 @@
 IN_FLIGHT = 8
 LONG, TELL_S = 60, 10.0  # a queue this long is told of in the log, so often
 MAX_WAITING = 400
+LONGEST_PASSED_OVER_S = 10.0  # commits of lower ranks let others of their urgency pass for no longer than this
+PASSED_OVER = -1  # the rank that they are served with from then on
 NEED_S = 2.0
 LARGEST_VALUE = 64 * 1024  # where no other limit is given
 FIRST_HOLD_S, LONGEST_HOLD_S = 0.5, 8.0  # that a job's commits pause after refused ones
@@ -150,7 +152,8 @@
                     urgency = min(urgency, pending.urgency)
             # Under a backlog of arrays the commits of higher ranks waited among theirs for seconds.
             if urgency < 99 and (best is None or urgency <= best[0]):
-                key = (urgency, self._mirror.claims.of(view.record).rank, ready)
+                passed_over = now - ready > LONGEST_PASSED_OVER_S
+                key = (urgency, PASSED_OVER if passed_over else self._mirror.claims.of(view.record).rank, ready)
                 if best is None or key < best:
                     best, found = key, view
         return None if best is None or found is None else (Urgency(best[0]), found)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -334,3 +334,39 @@
     assert order(5_000)[0] != "run-1"
     assert order(placing.FAR_OVERDUE_MS + 1)[0] == "run-1"
     assert order(placing.FAR_OVERDUE_MS + 1, done=[0, 0])[0] != "run-1"  # it has begun
+
+
+def test_tasks_that_end_leave_no_allotment_to_be_committed() -> None:
+    """Each end of a task was followed by a commit of a smaller allotment, more urgent than completions are. When the
+    changes a second fell by a third, placements of lower ranks waited a minute for theirs beside hundreds of free
+    machines."""
+    record = records.JobRecord(spec(pieces=10, vcpus=1.0), 1, allot={"a": 6, "b": 4})
+    record = records.place([placing.Placement("m", "a", 6)], 1)(record)
+    ended = records.end([records.Ended(n, 1, "m", True) for n in range(4)])(record)
+    assert ended.held() == 6
+    assert limits.covered(ended, {"a": 2, "b": 4})
+    assert not limits.covered(ended, {"a": 2, "b": 3}), "it must give back what others may have"
+    assert not limits.covered(ended, {"a": 7, "b": 4}), "it may have more"
+    lost = records.evict("m", 5)(ended)
+    assert lost.held() == ended.held()
+
+
+@given(st.data())
+def test_what_a_job_holds_never_grows_by_itself_under_an_allotment_left_as_it_is(data) -> None:  # noqa: ANN001
+    """However tasks are placed, end and are lost after it: the allotment is larger than what the job has left."""
+    record = records.JobRecord(spec(pieces=12, vcpus=1.0), 1, allot={"a": 8, "b": 4})
+    for step in range(data.draw(st.integers(1, 12))):
+        before = record.held()
+        zone, most = data.draw(st.sampled_from([("a", 3), ("b", 2)]))
+        change = data.draw(st.sampled_from(["place", "end", "evict"]))
+        machine = f"{zone}{step % 3}"
+        if change == "place":
+            made = records.place([placing.Placement(machine, zone, most)], record.next)
+        elif change == "evict":
+            made = records.evict(machine, 5)
+        else:
+            runs = record.runs[:2]
+            done = data.draw(st.booleans())
+            made = records.end([records.Ended(r.tasks[0], r.attempt, r.machine, done) for r in runs])
+        record = made(record) or record
+        assert record.held() <= before
