--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import random
 from collections.abc import Iterator
 
-import msgspec
-
 from cloverplank.api.submission import Submissions
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.basic_types import Clock, FencingToken, JobId, Mono, NodeId, Zone
 from cloverplank.fleet.cloud import Cloud, CloudDown
 from cloverplank.fleet.dependency_sweep import DependencySweep
-from cloverplank.fleet.errors import Deposed, Unanswered
 from cloverplank.fleet.holder import Block, Limits
 from cloverplank.fleet.leader import Leader
 from cloverplank.fleet.machines import Health
+from cloverplank.fleet.peer_hints import PeerHints
+from cloverplank.fleet.report_front import ReportFront
 from cloverplank.fleet.returning import Returning, is_return
 from cloverplank.fleet.roster import Roster
 from cloverplank.jobs.headroom import Headroom
@@ -27,7 +25,7 @@
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob, JobStore
-from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
+from cloverplank.net.messages import Http, Request, Response, answer
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform, contact_bound
 from cloverplank.state import keys
@@ -37,12 +35,11 @@
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session, Standing
+from cloverplank.state.shares import RateShares, first_watch_gap
 from cloverplank.wire.cloud import MachineType, MachineTypes
-from cloverplank.wire.codec import BadMessage, decode, encode
-from cloverplank.wire.peers import HINT_PATH, Hint, MachineHint
 from cloverplank.wire.statesvc import Commit, Condition, Put
-from cloverplank.wire.users import ErrorAnswer, valid_job_id
-from cloverplank.wire.workers import REPORT_PATH, Redirect, Report
+from cloverplank.wire.users import ErrorAnswer
+from cloverplank.wire.workers import REPORT_PATH
 
 log = logging.getLogger("cloverplank.controller")
 
@@ -51,19 +48,11 @@
 IDLE_ROUND_S = 0.25  # and at the most
 ROUND_PART = 0.05  # of the processor that rounds may take: reports and leases come first
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
-MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
 NOTE_S = 0.1  # between two notes of the own machines in the roster
-HINT_IMAGES = 12  # the latest used, of each machine
-MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
-MAX_CANCELLED, TELL_CANCELLED_S = 500, 3.0  # cancellations in one hint, and for how long each is told again
 DECLINE_GRANTS_S = 20.0
 REINSTATE_S = 0.1  # contact must be later than a deposition by this much before it is taken back
+WELL_PEER_S = 3.0  # a hint not older than this says that a peer is well
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
-LEADER_WEIGHT, HOLDER_WEIGHT = 2.0, 2.0
-EVEN_PART = 0.3  # of the changes a second, split evenly; the rest goes by need
-# Watches are opened anew by their share of this part of all requests; leader and holders wait for news
-# with every job, the others only keep up.
-WATCH_PART, WATCH_WEIGHT, LEAST_GAP_S = 0.3, 3.0, 0.03
 WATCH_LEASES = 0.375  # of the controller's lease that a watch without news waits at the most
 
 
@@ -87,7 +76,7 @@
             Budget(state_limits.write_rps / count, clock, least=4.0),
         )
         self.store = JobStore()
-        self.mirror = Mirror(self.client, self.store, clock, max(LEAST_GAP_S, count / (WATCH_PART * state_limits.rps)))
+        self.mirror = Mirror(self.client, self.store, clock, first_watch_gap(state_limits, count))
         space = RecordSpace(
             int(facts.state.value_kb * BYTES_A_KB),
             int(state_limits.value_kb * BYTES_A_KB),
@@ -130,7 +119,6 @@
         # Grants to others by their leases, with the time at which each was last seen to stand.
         self._former: dict[Zone, dict[int, tuple[NodeId, Mono]]] = {z: {} for z in self.zones}
         self._began = clock.mono()
-        self.peers: dict[NodeId, tuple[Hint, Mono]] = {}
         self.roster = Roster(clock)
         self.returning = Returning(self.mirror)
         self.headroom = Headroom(
@@ -144,12 +132,27 @@
                 within.setdefault(o.job_class, []).append(o.within_s)
         self.targets = Targets(within, operator.patience, self.mirror.claims.of)
         self._types: dict[str, MachineType] = {}
-        self._heard: dict[str, dict[str, Mono]] = {z: {} for z in self.zones}
         self._round_requested = asyncio.Event()
         self._noted_at = Mono(-1e9)
-        self._cancellations: dict[JobId, Mono] = {}  # committed here lately, told to the peers
-        self._telling = False
         self._tasks: set[asyncio.Task] = set()
+        self.hints = PeerHints(
+            platform,
+            clock,
+            http,
+            chance,
+            self.session,
+            self.client,
+            self.queue,
+            self.store,
+            self.roster,
+            self.blocks,
+        )
+        self.reports = ReportFront(
+            self.session, self.mirror, self.roster, self.hints, self.blocks, self._bumped, self.request_round
+        )
+        self.shares = RateShares(
+            state_limits, self.zones, self.session, self.client, self.mirror, self.queue, self.hints.need_of
+        )
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
         self.leader = Leader(
             platform,
@@ -162,7 +165,7 @@
             self.cloud,
             self.headroom,
             lambda: self._types,
-            self.peers,
+            self.hints.received,
             self.targets,
             self.returning,
         )
@@ -181,7 +184,7 @@
         self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, workers.cancel_s)
         self.store.changed = self._job_changed
         self.store.fresh_at = lambda: self.mirror.fresh_at
-        self.users.cancelled = self._cancelled
+        self.users.cancelled = self.hints.tell_cancelled
         self.mirror.changed = self._key_changed
         self.session.changed = self.request_round
 
@@ -214,40 +217,6 @@
                     block.released(name)
         self.request_round()
 
-    def _cancelled(self, job: JobId) -> None:
-        """A cancellation that was committed here: a holder that the state service refuses can learn of it from us
-        alone, and any other sooner than from its watch."""
-        now = self._clock.mono()
-        for old in [j for j, at in self._cancellations.items() if now - at > TELL_CANCELLED_S]:
-            del self._cancellations[old]
-        if len(self._cancellations) < MAX_CANCELLED:
-            self._cancellations[job] = now
-        if not self._telling:
-            self._telling = True
-            self._spawn(self._tell_cancelled())
-
-    async def _tell_cancelled(self) -> None:
-        await asyncio.sleep(0.005)  # gathers what is called off in the same moment
-        self._telling = False
-        body = encode(self._own_hint())
-        for peer in self.platform.peers:
-            self._spawn(self._hint(peer.peer_addr, [body]))
-
-    def _own_hint(self) -> Hint:
-        """Without machines."""
-        now = self._clock.mono()
-        return Hint(
-            self.me,
-            self.platform.location,
-            not self.client.down(1.0),
-            {zone: len(heard) for zone, heard in self._heard.items()},
-            [],
-            {zone: block.token for zone, block in self.blocks.items() if not block.deposed},
-            now < self.session.declines_grants_until,
-            self.queue.need(),
-            [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
-        )
-
     # -- what is served
 
     async def front(self, request: Request) -> Response:
@@ -255,7 +224,7 @@
         if path == REPORT_PATH:
             if request.method != "POST":
                 return answer(405, ErrorAnswer("POST only"), Allow="POST")
-            return self._report(request.body)
+            return self.reports.handle(request.body)
         if path == JOBS_PATH or path.startswith(JOBS_PATH + "/"):
             return await self.users.handle(request)
         if path == "/ready":
@@ -270,85 +239,12 @@
             return False
         if not self.client.down(2.5):
             return True
-        now = self._clock.mono()
-        fresh = [hint for hint, at in self.peers.values() if now - at < 4.0]
-        return bool(fresh) and not any(hint.state_ok for hint in fresh)
-
-    def _report(self, body: bytes) -> Response:
-        try:
-            report = decode(body, Report)
-        except BadMessage as err:
-            return answer(400, ErrorAnswer(str(err)[:200]))
-        now = self._clock.mono()
-        heard = self._heard.get(report.zone)
-        if heard is None:
-            return answer(421, Redirect())
-        if len(heard) < 10_000:
-            heard[report.machine] = now
-        if report.machine in self.roster.left:
-            # Released: a late copy. It must not bring the machine back.
-            return answer(503, ErrorAnswer("released"), Retry_After="30")
-        zone = Zone(report.zone)
-        block = self.blocks.get(zone)
-        if block is not None and not block.deposed:
-            standing = self.session.check()
-            if standing is Standing.OUT:
-                return answer(503, ErrorAnswer("out of touch"), Retry_After="1")
-            grant = self.session.grant(zone)  # None: the lease is gone for certain, and the block with it
-            if grant is not None and grant in (block.token, self._bumped.get(zone)):
-                try:
-                    return answer(200, block.on_report(report))
-                except Unanswered as err:
-                    return answer(503, ErrorAnswer(str(err)), Retry_After="1")
-                except Deposed:
-                    self.request_round()
-                    return answer(421, Redirect())
-        holder = self._holder_by_hint(zone) or self.session.holder(zone)
-        if holder is None or holder == self.me or self._deaf(holder, zone):
-            return answer(421, Redirect())
-        return answer(421, Redirect(holder))
-
-    def _holder_by_hint(self, zone: Zone) -> NodeId | None:
-        """The peer that says it has a later grant than the mirror knows of: a controller that the state
-        service refuses learns in no other way where to send its workers."""
-        known = self.mirror.stamp(keys.block(zone))
-        now = self._clock.mono()
-        found = [
-            (hint.holds[zone], node)
-            for node, (hint, at) in self.peers.items()
-            if now - at < 4.0 and hint.holds.get(zone, 0) > known
-        ]
-        return max(found)[1] if found else None
-
-    def _hint_of(self, node: NodeId, now: Mono) -> Hint | None:
-        hint, at = self.peers.get(node, (None, Mono(-1e9)))
-        return hint if now - at < 4.0 else None
-
-    def _deaf(self, node: NodeId, zone: Zone) -> bool:
-        """By its own word it holds the block and hears nobody: no use to send workers there."""
-        hint, at = self.peers.get(node, (None, Mono(-1e9)))
-        return hint is not None and self._clock.mono() - at < 4.0 and hint.declines_grants
+        hints = self.hints.all_latest()
+        return bool(hints) and not any(hint.state_ok for hint in hints.values())
 
     async def peer(self, request: Request) -> Response:
-        if request.path != HINT_PATH:
-            return answer(404, ErrorAnswer("no such path"))
-        if request.method != "POST":
-            return answer(405, ErrorAnswer("POST only"), Allow="POST")
-        try:
-            hint = decode(request.body, Hint)
-        except BadMessage as err:
-            return answer(400, ErrorAnswer(str(err)[:200]))
-        if hint.node not in {p.label for p in self.platform.peers}:
-            return answer(400, ErrorAnswer("unknown peer"))
-        now = self._clock.mono()
-        self.peers[NodeId(hint.node)] = (hint, now)
-        for job in hint.cancelled[:MAX_CANCELLED]:
-            if valid_job_id(job):
-                self.store.hint_cancelled(JobId(job), now)
-        for machine in hint.machines[:5000]:
-            if self.session.holder(machine.zone) == hint.node:
-                self.roster.hinted(machine)
-        return answer(200)
+        """The answer to another controller."""
+        return await self.hints.handle(request)
 
     # -- loops
 
@@ -434,36 +330,9 @@
         if now - self._noted_at < (NOTE_S if self.session.leads() is not None else STILL_S):
             return
         self._noted_at = now
-        for hint in self._machine_hints():
+        for hint in self.hints.own_machines():
             self.roster.hinted(hint)
 
-    def _machine_hints(self) -> list[MachineHint]:
-        now = self._clock.mono()
-        result = []
-        for block in self.blocks.values():
-            for machine in block.machines.values():
-                if not machine.type or (machine.seq == 0 and machine.lost_since is None):
-                    continue
-                health = machine.health.value
-                if machine.lost_since is not None:
-                    health = "lost"
-                elif block.faulty(machine):
-                    health = "faulty"
-                result.append(
-                    MachineHint(
-                        machine.id,
-                        machine.addr,
-                        machine.type,
-                        block.zone,
-                        machine.spot,
-                        health,
-                        max(0.0, now - machine.heard_at),
-                        None if machine.ends_at is None else machine.ends_at - now,
-                        list(machine.images)[-HINT_IMAGES:],
-                    )
-                )
-        return result
-
     def turns(self) -> list[Turn]:
         now = self._clock.wall()
         turns = in_order(
@@ -543,7 +412,7 @@
                     await self.leader.announce_format()
                     for block in list(self.blocks.values()):
                         await self._tend(block)
-                self._shares()
+                self.shares.update()
             except Exception:
                 log.exception("governing failed")
             await asyncio.sleep(0.1 + 0.05 * self._chance.random())
@@ -576,40 +445,12 @@
         # A new holder is found by its workers only after the former one stopped answering them.
         patience = max(3.5, 1.75 * self.limits.report_s) if block.last_report_at > block.since else TAKEOVER_S
         expected = sum(1 for m in block.machines.values() if m.health in (Health.UP, Health.SUSPECT))
-        others = any(now - at < 3.0 and hint.state_ok and not hint.declines_grants for hint, at in self.peers.values())
+        others = any(hint.state_ok and not hint.declines_grants for hint in self.hints.all_latest(WELL_PEER_S).values())
         if expected >= 2 and others and silent > patience:
             log.info("block %s: %d machines and not one report for %.1f s: giving it up", block.zone, expected, silent)
             self.session.declines_grants_until = Mono(now + DECLINE_GRANTS_S)
             await self.session.give_up(keys.block(block.zone))
 
-    def _shares(self) -> None:
-        """This controller's part of the state service's limits, by what everybody has to do."""
-        members = set(self.session.members()) | {self.me}
-        weights = dict.fromkeys(members, 1.0)
-        watching = dict.fromkeys(members, 1.0)
-        leader = self.session.leader()
-        if leader is not None and leader[0].node in weights:
-            weights[NodeId(leader[0].node)] += LEADER_WEIGHT
-            watching[NodeId(leader[0].node)] += WATCH_WEIGHT
-        for zone in self.zones:
-            holder = self.session.holder(zone)
-            if holder in weights:
-                weights[holder] += HOLDER_WEIGHT / len(self.zones)
-                watching[holder] += WATCH_WEIGHT
-        limits = self.platform.facts.state.lowest()
-        self.client.requests.rate = limits.rps * weights[self.me] / sum(weights.values())
-        # Changes by need as everybody tells it, and a part for each in any case.
-        now = self._clock.mono()
-        needs = {
-            node: weight + (hint.changes if (hint := self._hint_of(node, now)) is not None else 0.0)
-            for node, weight in weights.items()
-        }
-        needs[self.me] = weights[self.me] + self.queue.need()
-        share = EVEN_PART / len(needs) + (1 - EVEN_PART) * needs[self.me] / sum(needs.values())
-        self.client.changes.rate = limits.write_rps * share
-        watches = WATCH_PART * limits.rps * watching[self.me] / sum(watching.values())
-        self.mirror.gap_s = max(LEAST_GAP_S, 1 / watches)
-
     async def _learn_types(self) -> None:
         while True:
             pause = 60.0
@@ -631,37 +472,6 @@
                 pause = 2.0
             await asyncio.sleep(pause if self._types else min(pause, 1.0))
 
-    async def _hints(self) -> None:
-        turn = 0
-        while True:
-            now = self._clock.mono()
-            for heard in self._heard.values():
-                for name in [n for n, at in heard.items() if now - at > 6.0]:
-                    del heard[name]
-            hint = self._own_hint()
-            leader = self.session.leader()
-            everybody = turn % MACHINE_HINTS == 0
-            full = {p.label for p in self.platform.peers if everybody or (leader and leader[0].node == p.label)}
-            machines = self._machine_hints() if full else []
-            # In parts: the machines of a large block in one message were refused for its size.
-            parts = [
-                encode(msgspec.structs.replace(hint, machines=machines[at : at + MACHINES_A_HINT]))
-                for at in range(0, max(1, len(machines)), MACHINES_A_HINT)
-            ]
-            short = [encode(hint)]
-            for peer in self.platform.peers:
-                self._spawn(self._hint(peer.peer_addr, parts if peer.label in full else short))
-            turn += 1
-            close_idle = getattr(self._http, "close_idle", None)
-            if close_idle is not None:
-                close_idle()
-            await asyncio.sleep(0.9 + 0.2 * self._chance.random())
-
-    async def _hint(self, addr: str, bodies: list[bytes]) -> None:
-        with contextlib.suppress(NoAnswer):
-            for body in bodies:
-                await self._http.request(addr, "POST", HINT_PATH, body, 0.9)
-
     async def run(self) -> None:
         await asyncio.gather(
             self.mirror.run(),
@@ -670,7 +480,7 @@
             self._rounds(),
             self._govern(),
             self._learn_types(),
-            self._hints(),
+            self.hints.run(),
             self.leader.run(),
             self.dependency_sweep.run(),
         )
--- /dev/null
+++ b/src/cloverplank/fleet/peer_hints.py
@@ -0,0 +1,251 @@
+"""Hints that controllers exchange once a second. Nothing that must be right rests on them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+
+from cloverplank.basic_types import Clock, JobId, Mono, NodeId, Zone
+from cloverplank.jobs.store import JobStore
+from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
+from cloverplank.settings.platform import Platform
+from cloverplank.state.client import StateClient
+from cloverplank.state.queue import CommitQueue
+from cloverplank.state.session import Session
+from cloverplank.wire.codec import BadMessage, decode, encode
+from cloverplank.wire.peers import HINT_PATH, Hint, MachineHint
+from cloverplank.wire.users import ErrorAnswer, valid_job_id
+
+from .holder import Block
+from .machines import Machine
+from .roster import Roster
+
+FRESH_S = 4.0  # a hint older than this says nothing
+MACHINE_HINTS = 5  # hints from one with all machines to the next; the leader gets them in every one
+HINT_IMAGES = 12  # the latest used, of each machine
+MACHINES_A_HINT = 150  # so that a hint stays well under the size of a body
+MAX_MACHINES = 5000  # taken from one hint
+MAX_CANCELLED, TELL_CANCELLED_S = 500, 3.0  # cancellations in one hint, and for how long each is told again
+GATHER_CANCELLED_S = 0.005  # cancellations of the same moment go in one hint
+SEND_S = 0.9  # time limit of one request, and the least time between two hints
+SPREAD_S = 0.2  # of the times between hints, so that controllers don't send at the same moments
+HEARD_S = 6.0  # a worker counts as asking here for this long after a report
+MAX_HEARD = 10_000
+STATE_DOWN_S = 1.0  # without an answer of the state service for this long, peers are told
+
+
+class PeerHints:
+    """Sends this controller's hints and keeps the latest of each peer."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        http: Http,
+        chance: random.Random,
+        session: Session,
+        client: StateClient,
+        queue: CommitQueue,
+        store: JobStore,
+        roster: Roster,
+        blocks: dict[Zone, Block],
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._http = http
+        self._chance = chance
+        self._session = session
+        self._client = client
+        self._queue = queue
+        self._store = store
+        self._roster = roster
+        self._blocks = blocks
+        self.received: dict[NodeId, tuple[Hint, Mono]] = {}
+        self._heard: dict[str, dict[str, Mono]] = {zone: {} for zone in platform.facts.zones}
+        self._cancellations: dict[JobId, Mono] = {}  # committed here lately
+        self._telling = False
+        self.tasks: set[asyncio.Task] = set()
+
+    # -- what peers say
+
+    def latest(self, node: NodeId, within_s: float = FRESH_S) -> Hint | None:
+        """The peer's last hint, if it is not older than `within_s`."""
+        found = self.received.get(node)
+        if found is None or self._clock.mono() - found[1] >= within_s:
+            return None
+        return found[0]
+
+    def all_latest(self, within_s: float = FRESH_S) -> dict[NodeId, Hint]:
+        """The last hints of all peers that sent one within the time."""
+        hints = {node: self.latest(node, within_s) for node in self.received}
+        return {node: hint for node, hint in hints.items() if hint is not None}
+
+    def need_of(self, node: NodeId) -> float:
+        """Changes a second that a peer would make."""
+        hint = self.latest(node)
+        return 0.0 if hint is None else hint.changes
+
+    def later_holder(self, zone: Zone, known_token: int) -> NodeId | None:
+        """The peer that says it has a later grant than is known here: a controller that the state service refuses
+        learns in no other way where to send its workers."""
+        found = [
+            (hint.holds[zone], node)
+            for node, hint in self.all_latest().items()
+            if hint.holds.get(zone, 0) > known_token
+        ]
+        return max(found)[1] if found else None
+
+    def hears_nobody(self, node: NodeId) -> bool:
+        """By its own word it hears no workers: no use to send any there."""
+        hint = self.latest(node)
+        return hint is not None and hint.declines_grants
+
+    async def handle(self, request: Request) -> Response:
+        """A request of a peer."""
+        if request.path != HINT_PATH:
+            return answer(404, ErrorAnswer("no such path"))
+        if request.method != "POST":
+            return answer(405, ErrorAnswer("POST only"), Allow="POST")
+        try:
+            hint = decode(request.body, Hint)
+        except BadMessage as err:
+            return answer(400, ErrorAnswer(str(err)[:200]))
+        if hint.node not in {peer.label for peer in self._platform.peers}:
+            return answer(400, ErrorAnswer("unknown peer"))
+        self._take(hint)
+        return answer(200)
+
+    def _take(self, hint: Hint) -> None:
+        now = self._clock.mono()
+        self.received[NodeId(hint.node)] = (hint, now)
+        for job in hint.cancelled[:MAX_CANCELLED]:
+            if valid_job_id(job):
+                self._store.hint_cancelled(JobId(job), now)
+        for machine in hint.machines[:MAX_MACHINES]:
+            if self._session.holder(machine.zone) == hint.node:
+                self._roster.hinted(machine)
+
+    # -- what this controller says
+
+    def heard_worker(self, zone: str, machine: str) -> bool:
+        """A worker has sent a report here. False: of a zone that there is not."""
+        heard = self._heard.get(zone)
+        if heard is None:
+            return False
+        if len(heard) < MAX_HEARD:
+            heard[machine] = self._clock.mono()
+        return True
+
+    def tell_cancelled(self, job: JobId) -> None:
+        """A cancellation that was committed here: a holder that the state service refuses can learn of it from us
+        alone, and any other sooner than from its watch."""
+        now = self._clock.mono()
+        for old in [j for j, at in self._cancellations.items() if now - at > TELL_CANCELLED_S]:
+            del self._cancellations[old]
+        if len(self._cancellations) < MAX_CANCELLED:
+            self._cancellations[job] = now
+        if not self._telling:
+            self._telling = True
+            self._spawn(self._tell_cancelled())
+
+    async def _tell_cancelled(self) -> None:
+        await asyncio.sleep(GATHER_CANCELLED_S)
+        self._telling = False
+        body = encode(self._own())
+        for peer in self._platform.peers:
+            self._spawn(self._send(peer.peer_addr, [body]))
+
+    def _own(self) -> Hint:
+        """The own hint without machines."""
+        now = self._clock.mono()
+        return Hint(
+            self._session.me,
+            self._platform.location,
+            not self._client.down(STATE_DOWN_S),
+            {zone: len(heard) for zone, heard in self._heard.items()},
+            [],
+            {zone: block.token for zone, block in self._blocks.items() if not block.deposed},
+            now < self._session.declines_grants_until,
+            self._queue.need(),
+            [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
+        )
+
+    def own_machines(self) -> list[MachineHint]:
+        """The machines of the own blocks."""
+        return [
+            _machine_hint(block, machine, self._clock.mono())
+            for block in self._blocks.values()
+            for machine in block.machines.values()
+            if machine.type and (machine.seq or machine.lost_since is not None)
+        ]
+
+    async def run(self) -> None:
+        """Sends hints for ever."""
+        number = 0
+        while True:
+            self._forget_unheard()
+            self._send_all(to_everybody=number % MACHINE_HINTS == 0)
+            number += 1
+            close_idle = getattr(self._http, "close_idle", None)
+            if close_idle is not None:
+                close_idle()
+            await asyncio.sleep(SEND_S + SPREAD_S * self._chance.random())
+
+    def _forget_unheard(self) -> None:
+        now = self._clock.mono()
+        for heard in self._heard.values():
+            for name in [n for n, at in heard.items() if now - at > HEARD_S]:
+                del heard[name]
+
+    def _send_all(self, to_everybody: bool) -> None:
+        """The machines go to the leader in every hint, to the others in some."""
+        hint = self._own()
+        leader = self._session.leader()
+        full = {
+            peer.label
+            for peer in self._platform.peers
+            if to_everybody or (leader is not None and leader[0].node == peer.label)
+        }
+        machines = self.own_machines() if full else []
+        # In parts: the machines of a large block in one message were refused for its size.
+        parts = [
+            encode(msgspec.structs.replace(hint, machines=machines[at : at + MACHINES_A_HINT]))
+            for at in range(0, max(1, len(machines)), MACHINES_A_HINT)
+        ]
+        short = [encode(hint)]
+        for peer in self._platform.peers:
+            self._spawn(self._send(peer.peer_addr, parts if peer.label in full else short))
+
+    async def _send(self, addr: str, bodies: list[bytes]) -> None:
+        with contextlib.suppress(NoAnswer):
+            for body in bodies:
+                await self._http.request(addr, "POST", HINT_PATH, body, SEND_S)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def _machine_hint(block: Block, machine: Machine, now: Mono) -> MachineHint:
+    health = machine.health.value
+    if machine.lost_since is not None:
+        health = "lost"
+    elif block.faulty(machine):
+        health = "faulty"
+    return MachineHint(
+        machine.id,
+        machine.addr,
+        machine.type,
+        block.zone,
+        machine.spot,
+        health,
+        max(0.0, now - machine.heard_at),
+        None if machine.ends_at is None else machine.ends_at - now,
+        list(machine.images)[-HINT_IMAGES:],
+    )
--- /dev/null
+++ b/src/cloverplank/fleet/report_front.py
@@ -0,0 +1,80 @@
+"""Where workers' reports come in: handled by the own block, or sent on to the controller that holds the zone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cloverplank.basic_types import FencingToken, Zone
+from cloverplank.net.messages import Response, answer
+from cloverplank.state import keys
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.session import Session, Standing
+from cloverplank.wire.codec import BadMessage, decode
+from cloverplank.wire.users import ErrorAnswer
+from cloverplank.wire.workers import Redirect, Report
+
+from .errors import Deposed, Unanswered
+from .holder import Block
+from .peer_hints import PeerHints
+from .roster import Roster
+
+
+class ReportFront:
+    """Answers reports. `renewed`: tokens of own grants that were renewed and that the block may not have yet."""
+
+    def __init__(
+        self,
+        session: Session,
+        mirror: Mirror,
+        roster: Roster,
+        hints: PeerHints,
+        blocks: dict[Zone, Block],
+        renewed: dict[Zone, FencingToken],
+        request_round: Callable[[], None],
+    ) -> None:
+        self._session = session
+        self._mirror = mirror
+        self._roster = roster
+        self._hints = hints
+        self._blocks = blocks
+        self._renewed = renewed
+        self._request_round = request_round
+
+    def handle(self, body: bytes) -> Response:
+        """The answer to a report."""
+        try:
+            report = decode(body, Report)
+        except BadMessage as err:
+            return answer(400, ErrorAnswer(str(err)[:200]))
+        if not self._hints.heard_worker(report.zone, report.machine):
+            return answer(421, Redirect())
+        if report.machine in self._roster.left:
+            # Released: a late copy. It must not bring the machine back.
+            return answer(503, ErrorAnswer("released"), Retry_After="30")
+        return self._by_own_block(report) or self._redirect(Zone(report.zone))
+
+    def _by_own_block(self, report: Report) -> Response | None:
+        """None where this controller does not hold the zone."""
+        zone = Zone(report.zone)
+        block = self._blocks.get(zone)
+        if block is None or block.deposed:
+            return None
+        if self._session.check() is Standing.OUT:
+            return answer(503, ErrorAnswer("out of touch"), Retry_After="1")
+        grant = self._session.grant(zone)  # None: the lease is gone for certain, and the block with it
+        if grant is None or grant not in (block.token, self._renewed.get(zone)):
+            return None
+        try:
+            return answer(200, block.on_report(report))
+        except Unanswered as err:
+            return answer(503, ErrorAnswer(str(err)), Retry_After="1")
+        except Deposed:
+            self._request_round()
+            return answer(421, Redirect())
+
+    def _redirect(self, zone: Zone) -> Response:
+        known = self._mirror.stamp(keys.block(zone))
+        holder = self._hints.later_holder(zone, known) or self._session.holder(zone)
+        if holder is None or holder == self._session.me or self._hints.hears_nobody(holder):
+            return answer(421, Redirect())
+        return answer(421, Redirect(holder))
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -79,7 +79,7 @@
         block = next(iter(controller.blocks.values()))
         controller.session.lease = None
         controller.session.standing = Standing.JOINING
-        answer = controller._report(msgspec.msgpack.encode(machine.report()))
+        answer = controller.reports.handle(msgspec.msgpack.encode(machine.report()))
         assert controller.blocks and not block.deposed and answer.status == 421
 
     run(work())
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -172,7 +172,7 @@
         await asyncio.sleep(25)
         assert machine.released
         for other, _ in world.controllers.values():
-            assert other._report(copy).status == 503
+            assert other.reports.handle(copy).status == 503
         assert machine.id not in next(iter(controller.blocks.values())).machines
         check(world)
 
@@ -456,10 +456,10 @@
         block = next(iter(controller.blocks.values()))
         lie = {"plank": "m-000900", "stint": 1, "tally": 1, "baton": 2**63, "yard": world.zones[0], "build": "small"}
         for number in range(100):
-            controller._report(msgspec.msgpack.encode(lie | {"tally": number + 1}))
+            controller.reports.handle(msgspec.msgpack.encode(lie | {"tally": number + 1}))
             await asyncio.sleep(0.5)
         assert not block.deposed and running(world) == 6
-        assert controller._report(msgspec.msgpack.encode(lie | {"tally": 200})).status == 503
+        assert controller.reports.handle(msgspec.msgpack.encode(lie | {"tally": 200})).status == 503
         check(world)
 
     run(play())
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -164,7 +164,7 @@
             return
         task.cancel()
         own = [*controller._tasks, *controller.queue._tasks, *controller.fresh._tasks]
-        for one in [*own, *controller.dependency_sweep.tasks]:
+        for one in [*own, *controller.dependency_sweep.tasks, *controller.hints.tasks]:
             one.cancel()
         for block in controller.blocks.values():
             block.close()
