--- a/src/cloverplank/api/submission.py
+++ b/src/cloverplank/api/submission.py
@@ -13,10 +13,11 @@
 from cloverplank.jobs.dependencies import UpstreamState, Verdict, decide
 from cloverplank.jobs.limits import Limit
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
+from cloverplank.jobs.waiting import WaitingJob
 from cloverplank.net.messages import Response, answer
 from cloverplank.state import keys
 from cloverplank.state.client import StateClient, Unknown
-from cloverplank.state.fresh import Found, Fresh
+from cloverplank.state.fresh import Fresh
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Urgency
 from cloverplank.state.transitions import unknown_so_far
@@ -178,7 +179,7 @@
         if view is not None and view.record.spec.service:
             raise Refusal(422, f"waits_on: {job} is a service and never done")
 
-    async def _existing(self, job: JobId) -> Found:
+    async def _existing(self, job: JobId) -> JobRecord | WaitingJob | Phase:
         found = await self._fresh.job(job)
         if found is None:
             raise Unknown("a job that was there is not")
--- a/src/cloverplank/basic_types.py
+++ b/src/cloverplank/basic_types.py
@@ -29,7 +29,7 @@
     """One task of one job, in one attempt."""
 
     job: JobId
-    index: int
+    index: int  # type: ignore[assignment]  # hides tuple.index, which nobody asks a task for
     attempt: Attempt
 
     @property
--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -4,16 +4,21 @@
 
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from cloverplank import __version__
 from cloverplank.settings import BadSettings
 
+if TYPE_CHECKING:
+    from cloverplank.settings.operator import Operator
+    from cloverplank.settings.platform import Platform
+
 OPERATOR_FILE = Path(__file__).resolve().parents[2] / "deploy" / "operator.txtpb"
 
 
-def _settings(config: Path, operator: Path | None):  # noqa: ANN202
+def _settings(config: Path, operator: Path | None) -> tuple[Platform, Operator]:
     from cloverplank.settings.operator import read_operator
     from cloverplank.settings.platform import read_platform
 
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
+from typing import Any
 
 from cloverplank.api.submission import Submissions
 from cloverplank.api.users import JOBS_PATH, Users
@@ -14,7 +15,7 @@
 from cloverplank.fleet.dependency_sweep import DependencySweep
 from cloverplank.fleet.holder import Block, Limits
 from cloverplank.fleet.leader import Leader
-from cloverplank.fleet.machines import Health
+from cloverplank.fleet.machines import Health, Machine
 from cloverplank.fleet.peer_hints import PeerHints
 from cloverplank.fleet.report_front import ReportFront
 from cloverplank.fleet.returning import Returning, is_return
@@ -52,6 +53,7 @@
 DECLINE_GRANTS_S = 20.0
 REINSTATE_S = 0.1  # contact must be later than a deposition by this much before it is taken back
 WELL_PEER_S = 3.0  # a hint not older than this says that a peer is well
+SOONEST_ROOM_S = 10.0  # what may wait longer is not worth room kept ready: room comes by itself, or a machine boots
 TAKEOVER_S = 8.0  # a new holder that hears nobody for this long lets its block go
 WATCH_LEASES = 0.375  # of the controller's lease that a watch without news waits at the most
 
@@ -122,7 +124,11 @@
         self.roster = Roster(clock)
         self.returning = Returning(self.mirror)
         self.headroom = Headroom(
-            {o.job_class for o in facts.objectives if o.kind == "wait" and o.job_class},
+            {
+                o.job_class
+                for o in facts.objectives
+                if o.kind == "wait" and o.job_class and o.within_s <= SOONEST_ROOM_S
+            },
             operator.headroom_factor,
             operator.headroom_least_tasks,
         )
@@ -191,7 +197,7 @@
     def request_round(self) -> None:
         self._round_requested.set()
 
-    def _spawn(self, work) -> None:  # noqa: ANN001
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -313,7 +319,7 @@
         """Shows our token to every worker that can be reached, a few at a time."""
         gate = asyncio.Semaphore(24)
 
-        async def one(machine) -> None:  # noqa: ANN001
+        async def one(machine: Machine) -> None:
             async with gate:
                 if not machine.fenced and not block.deposed:
                     await block.fence(machine)
--- a/src/cloverplank/fleet/cloud.py
+++ b/src/cloverplank/fleet/cloud.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from typing import Any
 
 from cloverplank.basic_types import Clock
@@ -77,8 +78,8 @@
             raise NoCapacity
         return self._read(response, RentAnswer).machines
 
-    async def release(self, machines: list[str]) -> None:
-        response = await self._ask("POST", RELEASE_PATH, ReleaseRequest(machines[:MAX_RELEASE]))
+    async def release(self, machines: Sequence[str]) -> None:
+        response = await self._ask("POST", RELEASE_PATH, ReleaseRequest(list(machines[:MAX_RELEASE])))
         if response.status != 200:
             raise CloudDown(str(response.status))
 
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -533,7 +533,7 @@
                 left -= gone
                 draining = {name: why for name, why in batch.draining.items() if name not in gone}
                 changes.append(Put(key, ReturnRecord(now, draining, sorted([*batch.gone, *gone]))))
-        gone_names = sorted(left)
+        gone_names: list[str] = sorted(left)
         for at in range(0, len(gone_names), MAX_RETURNS):
             changes.append(Put(self._return_key(), ReturnRecord(now, {}, gone_names[at : at + MAX_RETURNS])))
         written = set(self._unrecorded)
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -120,10 +120,10 @@
         self.settled = None
         self.shown = report.tasks
         self.tasks = {}
-        for task in report.tasks:
-            ref = parse_task(task.task, task.attempt)
+        for reported in report.tasks:
+            ref = parse_task(reported.task, reported.attempt)
             if ref is not None:
-                self.tasks[ref] = task
+                self.tasks[ref] = reported
         self.first_seen = {ref: self.first_seen.get(ref, now) for ref in self.tasks}
         self.seen_running &= self.tasks.keys()
         self.heard_at = now
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cloverplank.basic_types import MachineId, Mono, TaskRef
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import Rooms, room_for
+from cloverplank.jobs.placing import Room, Rooms, room_for
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob
@@ -106,12 +107,8 @@
         for view in views:
             spec = view.record.spec
             tasks = view.staged.placed_on(machine.id)
-            found = rooms.fill(
-                view.record,
-                self._block.zone,
-                tasks,
-                allowed=lambda r, image=spec.image: r.machine != machine.id and not r.empty and image in r.images,
-            )
+            others = partial(_takes_over, machine.id, spec.image)
+            found = rooms.fill(view.record, self._block.zone, tasks, allowed=others)
             if sum(p.count for p in found) < tasks:
                 return False
         return True
@@ -147,3 +144,8 @@
                 rooms = rest
                 self.emptying[name] = Mono(now - MOVE_PAUSE_S)
                 log.info("pack: emptying machine %s", name)
+
+
+def _takes_over(machine: MachineId, image: str, room: Room) -> bool:
+    """Another machine that is in use anyway and has the image: a replica that moves there is away for two commits."""
+    return room.machine != machine and not room.empty and image in room.images
--- a/src/cloverplank/jobs/limits.py
+++ b/src/cloverplank/jobs/limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from msgspec import Struct
 
@@ -79,7 +79,7 @@
     return result
 
 
-def covered(record: JobRecord, allotment: dict[str, int]) -> bool:
+def covered(record: JobRecord, allotment: Mapping[Zone, int]) -> bool:
     """The allotment that the record has allows as much in each zone, and no more counts against the team.
 
     As tasks end, what a job may still put on machines grows smaller by itself. A commit that says so would change
@@ -116,7 +116,7 @@
 
 def split(
     turn: Turn, total: int, zones: dict[Zone, float], rooms: Rooms, rentable: Callable[[Zone], bool]
-) -> tuple[dict[str, int], list[Shortage]]:
+) -> tuple[dict[Zone, int], list[Shortage]]:
     """Where a job's tasks may go. What is placed stays; only the missing are split.
 
     What was split before stays where it has room. Takes the room it counts on.
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 from functools import cached_property
 
@@ -183,7 +183,7 @@
     return change
 
 
-def allot(wanted: dict[str, int]) -> Change:
+def allot(wanted: Mapping[Zone, int]) -> Change:
     """The leader's split over zones.
 
     The record may have changed since the split was made: tasks that were to move to another zone
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -6,6 +6,7 @@
 import contextlib
 import ipaddress
 from functools import lru_cache
+from typing import Any
 
 import h11
 
@@ -40,7 +41,7 @@
         status = 0
         chunks: list[bytes] = []
         size = 0
-        event = h11.NEED_DATA
+        event: Any = h11.NEED_DATA
         while True:
             if event is h11.NEED_DATA:
                 chunk = await self.reader.read(65536)
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from msgspec import Struct
+
 from cloverplank.basic_types import Clock, JobId, Mono, Stamp
 from cloverplank.jobs.dependencies import Claims, UpstreamState, state_of_phase
 from cloverplank.jobs.layout import CompactRecord, read_job
@@ -104,35 +106,40 @@
             self.finals.popitem(last=False)
         self.waiting.upstream_changed(job)
 
-    def put(self, key: str, value: bytes | object, stamp: Stamp) -> None:
-        """News of a key, in any order: the newer stamp stays."""
+    def put(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
+        """News of a key, in any order: the newer stamp stays. `value`: as it is stored, or already read."""
         try:
             if key.startswith(keys.JOBS):
-                record = read_job(value if isinstance(value, JobRecord | CompactRecord) else bytes(value))
-                if self.gone.get(key, 0) < stamp:
-                    job = JobId(key[len(keys.JOBS) :])
-                    self.store.apply(job, record, stamp)
-                    if record.phase is not Phase.OPEN:
-                        self.waiting.upstream_changed(job)
+                self._put_job(key, value, stamp)
             elif key.startswith(keys.WAITING):
-                waiting = value if isinstance(value, WaitingRecord) else decode(bytes(value), WaitingRecord)
-                if self.gone.get(key, 0) < stamp:
-                    self.waiting.apply(JobId(key[len(keys.WAITING) :]), waiting, stamp)
+                self._put_waiting(key, value, stamp)
             elif key.startswith(keys.FINALS):
-                final = value if isinstance(value, FinalRecord) else decode(bytes(value), FinalRecord)
-                self.keep_final(JobId(key[len(keys.FINALS) :]), final.phase)
+                self.keep_final(JobId(key[len(keys.FINALS) :]), _read(value, FinalRecord).phase)
             else:
                 self._put_other(key, value, stamp)
         except BadMessage as err:
             log.error("state service: %s can't be read: %s", key, err)
 
-    def _put_other(self, key: str, value: bytes | object, stamp: Stamp) -> None:
+    def _put_job(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
+        record = read_job(value if isinstance(value, JobRecord | CompactRecord) else _stored_bytes(value))
+        if self.gone.get(key, 0) >= stamp:
+            return
+        job = JobId(key[len(keys.JOBS) :])
+        self.store.apply(job, record, stamp)
+        if record.phase is not Phase.OPEN:
+            self.waiting.upstream_changed(job)
+
+    def _put_waiting(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
+        record = _read(value, WaitingRecord)
+        if self.gone.get(key, 0) < stamp:
+            self.waiting.apply(JobId(key[len(keys.WAITING) :]), record, stamp)
+
+    def _put_other(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
         if self.stamp(key) >= stamp or self.gone.get(key, 0) >= stamp:
             return
         for prefix, kind in _KINDS:
             if key == prefix or (prefix.endswith("/") and key.startswith(prefix)):
-                read = value if isinstance(value, kind) else decode(bytes(value), kind)
-                self.values[key] = self._by_kind.setdefault(kind, {})[key] = (read, stamp)
+                self.values[key] = self._by_kind.setdefault(kind, {})[key] = (_read(value, kind), stamp)
                 self.changed(key)
                 return
 
@@ -207,3 +214,14 @@
                     log.info("mirror: the watch fails, reading again")
                     self.loaded, failures = False, 0
                 await asyncio.sleep(min(1.0, 0.2 * failures))
+
+
+def _stored_bytes(value: bytes | Struct) -> bytes:
+    if isinstance(value, Struct):
+        raise BadMessage(f"a record of another type: {type(value).__name__}")
+    return value
+
+
+def _read(value: bytes | Struct, kind: type[T]) -> T:
+    """The record, from its bytes or as it is. Raises BadMessage."""
+    return value if isinstance(value, kind) else decode(_stored_bytes(value), kind)
