--- a/src/cloverplank/api/submission.py
+++ b/src/cloverplank/api/submission.py
@@ -27,6 +27,7 @@
 from cloverplank.wire.users import ErrorAnswer, JobAnswer, JobSpec, Submission, decode_submission, valid_job_id
 
 from .answers import busy, job_answer
+from .waiting_jobs import WaitingJobAnswers
 
 log = logging.getLogger("cloverplank.users")
 
@@ -64,6 +65,7 @@
         types: Callable[[], dict[str, MachineType]],
         zones: list[str],
         value_bytes: int,
+        waiting: WaitingJobAnswers,
     ) -> None:
         self._clock = clock
         self._client = client
@@ -74,6 +76,7 @@
         self._types = types
         self._zones = zones
         self._value_bytes = value_bytes
+        self._waiting = waiting
 
     async def submit(self, body: bytes) -> Response:
         """The answer to a submission. Raises Refused, Unknown, Full, Lost or TimeoutError where it can't be told."""
@@ -85,23 +88,21 @@
             return known or answer(400, ErrorAnswer(str(err)[:200]))
         job = JobId(submission.spec.id)
         if self._mirror.knows(job):
-            return answer(200, job_answer(job, await self._existing(job)))
+            return await self._known(job)
         if self._client.down() or not self._types():
             return busy()
         try:
             commit, state = await self._prepare(submission, len(body))
         except Refusal as why:
-            found = await self._fresh.job(job)
-            if found is not None:
-                return answer(200, job_answer(job, found))
-            return answer(why.status, ErrorAnswer(why.reason))
+            known = await self._known_or_none(job)
+            return known or answer(why.status, ErrorAnswer(why.reason))
         wait = self._queue.wait_estimate()
         if wait > LONGEST_WAIT_S:
             return busy(wait)
         async with asyncio.timeout(COMMIT_S):
             result = await self._queue.commit(commit, Urgency.SUBMIT, once=True)
         if result.failed:
-            return answer(200, job_answer(job, await self._existing(job)))
+            return await self._known(job)
         self._log_accepted(submission, state, began)
         return answer(201, JobAnswer(job, state))
 
@@ -159,6 +160,10 @@
             raise Unknown("not all jobs that it needs are read yet")
         for job in upstream:
             self._check_no_service(job)
+        if upstream and self._waiting.news_too_old():
+            raise Unknown("a cancellation of a job that it needs may not be known here")
+        if await self._waiting.any_doomed(upstream):
+            return Verdict.CANCEL, []
         unfinished = [job for job, state in states.items() if state is UpstreamState.UNFINISHED]
         return decide(states.values()), unfinished
 
@@ -179,11 +184,18 @@
         if view is not None and view.record.spec.service:
             raise Refusal(422, f"waits_on: {job} is a service and never done")
 
-    async def _existing(self, job: JobId) -> JobRecord | WaitingJob | Phase:
-        found = await self._fresh.job(job)
-        if found is None:
+    async def _known(self, job: JobId) -> Response:
+        """The answer for a job that was accepted before."""
+        known = await self._known_or_none(job)
+        if known is None:
             raise Unknown("a job that was there is not")
-        return found
+        return known
+
+    async def _known_or_none(self, job: JobId) -> Response | None:
+        found = await self._fresh.job(job)
+        if isinstance(found, WaitingJob):
+            return await self._waiting.answer(found)
+        return None if found is None else answer(200, job_answer(job, found))
 
     async def _known_anyway(self, body: bytes) -> Response | None:
         """A job that was accepted stays so, whatever a repeated submission says besides its id."""
@@ -193,5 +205,4 @@
             return None
         if not valid_job_id(job):
             return None
-        found = await self._fresh.job(JobId(job))
-        return None if found is None else answer(200, job_answer(JobId(job), found))
+        return await self._known_or_none(JobId(job))
--- a/src/cloverplank/api/users.py
+++ b/src/cloverplank/api/users.py
@@ -7,12 +7,11 @@
 from collections.abc import Callable
 
 from cloverplank.basic_types import Clock, JobId
-from cloverplank.jobs import dependencies, records
+from cloverplank.jobs import records
 from cloverplank.jobs.records import JobRecord, Phase
 from cloverplank.jobs.store import Pending
 from cloverplank.jobs.waiting import WaitingJob
 from cloverplank.net.messages import Request, Response, answer
-from cloverplank.state import transitions
 from cloverplank.state.client import Lost, Refused, StateClient, Unknown
 from cloverplank.state.fresh import Fresh
 from cloverplank.state.mirror import Mirror
@@ -21,17 +20,17 @@
 
 from .answers import busy, job_answer
 from .submission import Submissions
+from .waiting_jobs import WaitingJobAnswers
 
 log = logging.getLogger("cloverplank.users")
 
 JOBS_PATH = "/api/jobs"
 CANCEL_S = 3.0
-GET_S = 1.5  # users wait two seconds for an answer to a poll
 RETRY_S = 0.02  # between two tries of a cancellation whose record was changed meanwhile
 
 
 class Users:
-    """Answers users' requests. `cancel_s`: time within which cancelled jobs must be known as such everywhere."""
+    """Answers users' requests."""
 
     def __init__(
         self,
@@ -41,7 +40,7 @@
         queue: CommitQueue,
         fresh: Fresh,
         submissions: Submissions,
-        cancel_s: float,
+        waiting: WaitingJobAnswers,
     ) -> None:
         self._clock = clock
         self._client = client
@@ -49,7 +48,7 @@
         self._queue = queue
         self._fresh = fresh
         self._submissions = submissions
-        self._oldest_news_s = cancel_s / 2
+        self._waiting = waiting
         self.cancelled: Callable[[JobId], None] = lambda job: None  # a cancellation was committed here
 
     async def handle(self, request: Request) -> Response:
@@ -81,35 +80,9 @@
         if found is None:
             return answer(404, ErrorAnswer("no such job"))
         if isinstance(found, WaitingJob):
-            async with asyncio.timeout(GET_S):
-                return await self._get_waiting(found)
+            return await self._waiting.answer(found)
         return answer(200, job_answer(job, found))
 
-    # -- jobs that wait for others
-
-    async def _get_waiting(self, job: WaitingJob) -> Response:
-        """A job is called pending only while nothing is known to be cancelled that it needs.
-
-        The leader cancels such jobs, but an outage may hold it up for longer than users are to be told anything but
-        the truth. So where one is found, its cancellation is committed here, before it is told.
-        """
-        if self._clock.mono() - self._mirror.fresh_at > self._oldest_news_s:
-            return busy()  # a cancellation may be long committed and not known here
-        for upstream in dependencies.not_in_memory(job, self._mirror.waiting, self._mirror.upstream_state):
-            await self._fresh.job(upstream)
-        if not dependencies.is_doomed(job, self._mirror.waiting, self._mirror.upstream_state):
-            return answer(200, job_answer(job.id, job))
-        if await self._cancel_waiting(job):
-            return answer(200, JobAnswer(job.id, "cancelled"))
-        return busy()
-
-    async def _cancel_waiting(self, job: WaitingJob) -> bool:
-        result = await asyncio.shield(self._queue.commit(transitions.cancel(job), Urgency.CANCEL))
-        if result.failed:
-            return False
-        log.info("cancelled %s, which waited for others", job.id)
-        return True
-
     # -- cancelling
 
     async def _cancel(self, name: str) -> Response:
@@ -132,7 +105,7 @@
     async def _cancel_found(self, job: JobId, found: JobRecord | WaitingJob) -> bool:
         """False: its record has changed meanwhile."""
         if isinstance(found, WaitingJob):
-            return await self._cancel_waiting(found)
+            return await self._waiting.cancel(found)
         if found.phase is Phase.CANCELLED:
             return True
         view = self._mirror.store.get(job)
--- /dev/null
+++ b/src/cloverplank/api/waiting_jobs.py
@@ -0,0 +1,76 @@
+"""What users are told of a job that waits for others."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from cloverplank.basic_types import Clock, JobId
+from cloverplank.jobs import dependencies
+from cloverplank.jobs.waiting import WaitingJob
+from cloverplank.net.messages import Response, answer
+from cloverplank.state import transitions
+from cloverplank.state.fresh import Fresh
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Urgency
+from cloverplank.wire.users import JobAnswer
+
+from .answers import busy, job_answer
+
+log = logging.getLogger("cloverplank.users")
+
+ANSWER_S = 1.5  # users wait two seconds for an answer to a poll
+
+
+class WaitingJobAnswers:
+    """A waiting job is called pending only while nothing is known to be cancelled that it needs.
+
+    The leader cancels such jobs, but an outage may hold it up for longer than users are to be told anything but the
+    truth. So where one is found, its cancellation is committed here, before it is told. `cancel_s`: time within which
+    a cancellation must be known of everywhere.
+    """
+
+    def __init__(self, clock: Clock, mirror: Mirror, queue: CommitQueue, fresh: Fresh, cancel_s: float) -> None:
+        self._clock = clock
+        self._mirror = mirror
+        self._queue = queue
+        self._fresh = fresh
+        self._oldest_news_s = cancel_s / 2
+
+    def news_too_old(self) -> bool:
+        """A cancellation may be long committed and not known here."""
+        return self._clock.mono() - self._mirror.fresh_at > self._oldest_news_s
+
+    async def answer(self, job: WaitingJob) -> Response:
+        """The job's state, 200 or 503. Raises Refused, Unknown, Full, Lost or TimeoutError where it can't be told."""
+        if self.news_too_old():
+            return busy()
+        async with asyncio.timeout(ANSWER_S):
+            if not await self.is_doomed(job):
+                return answer(200, job_answer(job.id, job))
+            if await self.cancel(job):
+                return answer(200, JobAnswer(job.id, "cancelled"))
+        return busy()
+
+    async def is_doomed(self, job: WaitingJob) -> bool:
+        """A job that it needs, directly or through others, is cancelled. Reads what is not in memory."""
+        waiting, state_of = self._mirror.waiting, self._mirror.upstream_state
+        for upstream in dependencies.not_in_memory(job, waiting, state_of):
+            await self._fresh.job(upstream)
+        return dependencies.is_doomed(job, waiting, state_of)
+
+    async def any_doomed(self, jobs: list[JobId]) -> bool:
+        """As `is_doomed`, for those of the jobs that wait."""
+        for name in jobs:
+            job = self._mirror.waiting.get(name)
+            if job is not None and await self.is_doomed(job):
+                return True
+        return False
+
+    async def cancel(self, job: WaitingJob) -> bool:
+        """Commits its cancellation. False: it does not wait any more."""
+        result = await asyncio.shield(self._queue.commit(transitions.cancel(job), Urgency.CANCEL))
+        if result.failed:
+            return False
+        log.info("cancelled %s, which waited for others", job.id)
+        return True
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -10,6 +10,7 @@
 
 from cloverplank.api.submission import Submissions
 from cloverplank.api.users import JOBS_PATH, Users
+from cloverplank.api.waiting_jobs import WaitingJobAnswers
 from cloverplank.basic_types import Clock, FencingToken, JobId, Mono, NodeId, Zone
 from cloverplank.fleet.cloud import Cloud, CloudDown
 from cloverplank.fleet.dependency_sweep import DependencySweep
@@ -45,6 +46,7 @@
 log = logging.getLogger("cloverplank.controller")
 
 BYTES_A_KB = 1024
+LEAST_BURST = 6.0  # changes that a controller with a small share may make at once: the jobs of a chain come together
 ROUND_S = 0.05  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
 ROUND_PART = 0.05  # of the processor that rounds may take: reports and leases come first
@@ -75,7 +77,7 @@
             platform.outside.state,
             clock,
             Budget(state_limits.rps / count, clock),
-            Budget(state_limits.write_rps / count, clock, least=4.0),
+            Budget(state_limits.write_rps / count, clock, least=LEAST_BURST),
         )
         self.store = JobStore()
         self.mirror = Mirror(self.client, self.store, clock, first_watch_gap(state_limits, count))
@@ -176,6 +178,7 @@
             self.returning,
         )
         self.dependency_sweep = DependencySweep(clock, self.session, self.mirror, self.queue, self.fresh)
+        waiting_jobs = WaitingJobAnswers(clock, self.mirror, self.queue, self.fresh, workers.cancel_s)
         submissions = Submissions(
             clock,
             self.client,
@@ -186,8 +189,9 @@
             lambda: self._types,
             list(facts.zones),
             space.lowest_value_bytes,
+            waiting_jobs,
         )
-        self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, workers.cancel_s)
+        self.users = Users(clock, self.client, self.mirror, self.queue, self.fresh, submissions, waiting_jobs)
         self.store.changed = self._job_changed
         self.store.fresh_at = lambda: self.mirror.fresh_at
         self.users.cancelled = self.hints.tell_cancelled
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -218,16 +218,46 @@
         world.state.outage(True)
         await asyncio.sleep(world.cancel_s + 5)
         world.state.outage(False)
+        late = world.job(7, waits_on=[specs[2]["id"]])
+        assert await world.submit(late)
+        assert await state_of(world, late) == "cancelled"
+        assert (await world.tell(specs[2]["id"], "POST", "/api/jobs", specs[2]))[1] == "cancelled"
         for _ in range(20):
             for label in world.labels:
-                await world.tell(specs[2]["id"], "GET", f"/api/jobs/{specs[2]['id']}", label=label)
+                await world.tell(specs[1]["id"], "GET", f"/api/jobs/{specs[1]['id']}", label=label)
             await asyncio.sleep(0.3)
-        assert await end_of(world, specs[2], 10.0) == "cancelled"
+        assert [await end_of(world, spec, 10.0) for spec in specs] == ["cancelled"] * 3
         check(world)
 
     run(play())
 
 
+def test_a_controller_with_old_news_says_nothing_of_waiting_jobs() -> None:
+    """Its comparisons are answered, its watch is not: what it needs may be long cancelled."""
+
+    async def play() -> None:
+        world = World(seed=13)
+        await ready(world)
+        specs = chain(world, 1, {}, {})
+        world.durations[specs[0]["id"]] = 300.0
+        await submit_in_turn(world, specs)
+        await asyncio.sleep(3)
+        controller = world.controllers["c-1"][0]
+        path = f"/api/jobs/{specs[1]['id']}"
+        assert (await world.ask("GET", path, label="c-1"))[0] == 200
+        controller.mirror.fresh_at -= world.cancel_s
+        monkey = controller.mirror.fresh_at
+        controller.mirror._client.watch = lambda *_: asyncio.sleep(3600)
+        await asyncio.sleep(3)
+        controller.mirror.fresh_at = monkey
+        assert (await world.ask("GET", path, label="c-1"))[0] == 503
+        assert (await world.ask("POST", "/api/jobs", specs[1], label="c-1"))[0] == 503
+        status, _ = await world.ask("POST", "/api/jobs", world.job(9, waits_on=[specs[1]["id"]]), label="c-1")
+        assert status == 503
+
+    run(play())
+
+
 def test_a_wait_on_a_job_that_ended_long_ago_is_released_by_controllers_that_have_forgotten_it() -> None:
     """Its final record alone is left, and no process has it in memory: it was committed a moment after the check."""
 
