--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -16,7 +16,7 @@
 from cloverplank.state.client import Unknown
 from cloverplank.state.session import Standing
 
-from .test_meetings import call_off, leader, others, play, the_gap
+from .test_meetings import call_off, leader, leader_refused_then_state_outage, others, play
 from .test_settings import GOOD
 from .world.day import check, holder
 from .world.loop import run
@@ -181,7 +181,7 @@
 
     monkeypatch.setattr(session.Session, "__init__", lifted)
     monkeypatch.setattr("cloverplank.jobs.store.JobStore.hint_cancelled", lambda self, job, now: None)
-    assert "ran_cancelled" in play(the_gap, 308, 1).rules.broken
+    assert "ran_cancelled" in play(leader_refused_then_state_outage, 308, 1).rules.broken
 
 
 @pytest.mark.parametrize("seed", [1, 2])
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -150,7 +150,7 @@
     await asyncio.sleep(0)
 
 
-async def the_gap(world: World) -> None:
+async def leader_refused_then_state_outage(world: World) -> None:
     """Jobs are called off at the very moment at which the state service refuses the leader alone; a second later it
     is down for all, for longer than cancel_s. Twice, with a short contact between."""
     long_tasks(world, 1)
@@ -326,7 +326,7 @@
     team_at_its_limit,
     long_tasks_out_of_reach,
     called_off_at_the_end,
-    the_gap,
+    leader_refused_then_state_outage,
     more_work_than_room,
     machines_mute,
     slow_then_refused_then_down,
