--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,6 +13,7 @@
 from cloverplank.settings.operator import TABLE, Operator, parse_operator
 from cloverplank.settings.platform import parse_platform
 
+from .test_wire import GOOD as SUBMISSION
 from .world.world import PEER, SETTINGS, TEAM
 
 GOOD = SETTINGS.format(
@@ -25,6 +26,9 @@
 )
 
 
+FIELDS = {name: value for name, value in SUBMISSION.items() if value is not None}
+
+
 def test_unknown_fields_are_ignored() -> None:
     assert parse_platform("tomorrow = 1\n" + GOOD + "\n[facts.more]\nx = 1\n").label == "c-0"
 
@@ -90,6 +94,12 @@
     good.write_text(GOOD)
     bad.write_text("label = 1")
     job.write_text('id = "run-1"')
+    chain = tmp_path / "chain.toml"
+    chain.write_text(
+        "".join(f"{k} = {str(v).lower() if isinstance(v, bool) else repr(v)}\n" for k, v in FIELDS.items())
+    )
+    unknown_form = tmp_path / "unknown_form.toml"
+    unknown_form.write_text(chain.read_text() + 'waits_on = ["the one before"]\n')
     run = CliRunner().invoke
     assert run(main, ["check", "--config", str(good)]).exit_code == 0
     for arguments in (
@@ -100,10 +110,13 @@
         ["show", "--controller", "nowhere", "run-1"],
         ["no-such"],
         ["submit", "--controller", "127.0.0.1:1", str(job)],
+        ["submit", "--controller", "127.0.0.1:1", str(unknown_form)],
     ):
         result = run(main, arguments)
         assert result.exit_code == 2, arguments
         assert "Traceback" not in result.output
     assert run(main, ["show", "--controller", "127.0.0.1:1", "run-1"]).exit_code == 1
+    chain.write_text(chain.read_text() + 'waits_on = ["run-1", "run-2"]\n')
+    assert run(main, ["submit", "--controller", "127.0.0.1:1", str(chain)]).exit_code == 1  # good, and nobody answers
     assert __version__ in run(main, ["--version"]).output
     assert run(main, ["settings"]).output == Operator().text()
