A load log: processor time by part, lag of the event loop, memory; off by default

Set by the operators' load_log_s. Time is charged to the part at work, tasks to the part that started them; with the setting off nothing is measured.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -27,6 +27,7 @@
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob, JobStore
+from cloverplank.load import LoadMeter, NoMeter, Part
 from cloverplank.net.messages import Http, Request, Response, answer
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform, contact_bound
@@ -61,7 +62,16 @@
 
 
 class Controller:
-    def __init__(self, platform: Platform, operator: Operator, clock: Clock, http: Http, chance: random.Random) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        operator: Operator,
+        clock: Clock,
+        http: Http,
+        chance: random.Random,
+        meter: LoadMeter | None = None,
+    ) -> None:
+        self._meter = meter or NoMeter()
         facts = platform.facts
         state_limits = facts.state.lowest()
         self.platform = platform
@@ -234,9 +244,10 @@
         if path == REPORT_PATH:
             if request.method != "POST":
                 return answer(405, ErrorAnswer("POST only"), Allow="POST")
-            return self.reports.handle(request.body)
+            with self._meter.section(Part.REPORTS):
+                return self.reports.handle(request.body)
         if path == JOBS_PATH or path.startswith(JOBS_PATH + "/"):
-            return await self.users.handle(request)
+            return await self._meter.metered(Part.USERS, self.users.handle(request))
         if path == "/ready":
             if request.method not in ("GET", "HEAD"):
                 return answer(405, ErrorAnswer("GET only"), Allow="GET")
@@ -254,7 +265,19 @@
 
     async def peer(self, request: Request) -> Response:
         """The answer to another controller."""
-        return await self.hints.handle(request)
+        return await self._meter.metered(Part.HINTS, self.hints.handle(request))
+
+    def cache_sizes(self) -> dict[str, int]:
+        """Entries of what is kept in memory, by name."""
+        return {
+            "jobs": len(self.store.jobs),
+            "waiting jobs": len(self.mirror.waiting.jobs),
+            "final states": len(self.mirror.finals),
+            "deleted keys": len(self.mirror.gone),
+            "machines": len(self.roster.known),
+            "own machines": sum(len(block.machines) for block in self.blocks.values()),
+            "commits waiting": self.queue.waiting(),
+        }
 
     # -- loops
 
@@ -312,6 +335,7 @@
             self.returning,
             lambda: self.session.check() is Standing.MEMBER and zone in self.blocks,
             self.request_round,
+            self._meter,
         )
         self.blocks[zone] = block
         for known in self.roster.known.values():
@@ -374,12 +398,15 @@
         self._note_own()
         turns = self.turns()
         if leads:
-            self.leader.round(turns)
+            with self._meter.section(Part.LEADER_ROUND):
+                self.leader.round(turns)
         for block in list(self.blocks.values()):
             yield
-            block.place(turns, self.headroom)
+            with self._meter.section(Part.PLACEMENT):
+                block.place(turns, self.headroom)
             yield
-            block.pack(self.headroom)
+            with self._meter.section(Part.PACKING):
+                block.pack(self.headroom)
             block.settle_evictions()
 
     async def _round(self, news: bool) -> float:
@@ -484,14 +511,14 @@
 
     async def run(self) -> None:
         await asyncio.gather(
-            self.mirror.run(),
+            self._meter.metered(Part.WATCH, self.mirror.run()),
             self.session.run(),
-            self.queue.run(),
-            self._rounds(),
+            self._meter.metered(Part.COMMITS, self.queue.run()),
+            self._meter.metered(Part.ROUND, self._rounds()),
             self._govern(),
             self._learn_types(),
-            self.hints.run(),
-            self.leader.run(),
+            self._meter.metered(Part.HINTS, self.hints.run()),
+            self._meter.metered(Part.RENTING, self.leader.run()),
             self.dependency_sweep.run(),
         )
 
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -16,6 +16,7 @@
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.jobs.store import CachedJob, JobStore, Pending
+from cloverplank.load import LoadMeter, NoMeter, Part
 from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
 from cloverplank.state import keys
 from cloverplank.state.mirror import Mirror
@@ -82,6 +83,7 @@
         returning: Returning,
         may_start: Callable[[], bool],
         request_round: Callable[[], None],
+        meter: LoadMeter | None = None,
     ) -> None:
         self.zone = zone
         self.token = token
@@ -96,6 +98,7 @@
         self.returning = returning
         self.may_start = may_start
         self.request_round = request_round
+        self._meter = meter or NoMeter()
         self.since = clock.mono()
         # What a former holder may have answered until its bound, and then the lease of the worker.
         self.unfenced_gone_at = Mono(self.since + limits.hold_on_s + limits.lease_s * 1.002 + 1.0)
@@ -372,7 +375,7 @@
         if not machine.addr or self.clock.mono() - machine.push_failed_at < 2.0:
             return
         machine.pushing = True
-        task = asyncio.ensure_future(self._push(machine))
+        task = asyncio.ensure_future(self._meter.metered(Part.ORDERS, self._push(machine)))
         self.spawned.add(task)
         task.add_done_callback(self.spawned.discard)
 
--- a/src/cloverplank/net/server.py
+++ b/src/cloverplank/net/server.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from cloverplank.load import LoadMeter, NoMeter, Part
 from cloverplank.wire.codec import MAX_BODY
 from cloverplank.wire.users import ErrorAnswer
 
@@ -46,7 +47,14 @@
 
 
 class Server:
-    def __init__(self, name: str, handler: Handler, limit: int, sockets: Sockets | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        handler: Handler,
+        limit: int,
+        sockets: Sockets | None = None,
+        meter: LoadMeter | None = None,
+    ) -> None:
         """`sockets`: shared with others, where this server's connections crowd them out."""
         self._name = name
         self._handler = handler
@@ -54,6 +62,7 @@
         self._sockets = sockets
         self._lines: set[_Line] = set()
         self._sweeping = False
+        self._meter = meter or NoMeter()
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         return await asyncio.start_server(self._serve, host, port, backlog=256, limit=MAX_BODY * 2)
@@ -83,7 +92,7 @@
             self._sweeping = True
             asyncio.get_running_loop().call_later(SWEEP_S, self._sweep)
         try:
-            await self._requests(line)
+            await self._meter.metered(Part.HTTP, self._requests(line))
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
         except Exception:
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import logging
 import os
@@ -12,6 +13,7 @@
 
 from cloverplank.basic_types import Clock
 from cloverplank.controller import Controller
+from cloverplank.load import LoadMeter, NoMeter
 from cloverplank.net.client import Client
 from cloverplank.net.server import Server
 from cloverplank.net.sockets import Sockets
@@ -23,15 +25,21 @@
 
 async def _serve(platform: Platform, operator: Operator) -> None:
     sockets = Sockets(platform.facts.machine_limits.sockets)
-    controller = Controller(platform, operator, Clock(), Client(sockets.client_least, sockets), random.Random())
+    meter = LoadMeter() if operator.load_log_s else NoMeter()
+    client = Client(sockets.client_least, sockets)
+    controller = Controller(platform, operator, Clock(), client, random.Random(), meter)
     for name, handler, text, limit, shared in (
         ("front", controller.front, platform.front, sockets.front, sockets),
         ("peers", controller.peer, platform.peer_listen, sockets.peers, None),
     ):
         addr = parse_addr(text, name)
-        await Server(name, handler, limit, shared).start(addr.host, addr.port)
+        await Server(name, handler, limit, shared, meter).start(addr.host, addr.port)
     logging.getLogger("cloverplank").info("%s in %s: serving", platform.label, platform.location)
-    await controller.run()
+    if not operator.load_log_s:
+        await controller.run()
+        return
+    asyncio.get_running_loop().set_task_factory(meter.task_factory)
+    await asyncio.gather(controller.run(), meter.watch_lag(), meter.report(operator.load_log_s, controller.cache_sizes))
 
 
 def serve(platform: Platform, operator: Operator) -> None:
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -84,6 +84,7 @@
     Setting("rent_limit", 1000.0, 1.0, 100000.0, "machines rented at the most"),
     Setting("refused_pause_s", 8.0, 1.0, 600.0, "pause after the cloud refused a type, zone and kind"),
     Setting("never_up_factor", 4.0, 1.5, 100.0, "boot times after which a machine that is not up is returned"),
+    Setting("load_log_s", 0.0, 0.0, 3600.0, "seconds between two log lines on processor time and memory; 0: never"),
     Setting("faulty_errors", 3.0, 1.0, 100.0, "tasks of different jobs that fail on a machine before it is drained"),
 )
 BY_NAME = {setting.name: setting for setting in TABLE}
