Ends of tasks that wait for their commit are one change of the record

Cause: each report with ended tasks staged a change of its own. Missing tasks were the union of one run after the other, squared as well. Now ends join the change that waits (never one on its way), and are taken out in one pass.

--- a/src/cloverplank/jobs/ranges.py
+++ b/src/cloverplank/jobs/ranges.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable, Iterator
+from itertools import chain
 
 Ranges = list[int]
 
@@ -19,6 +20,9 @@
 
 
 def count(ranges: Ranges) -> int:
+    """How many numbers there are."""
+    if len(ranges) == 2:  # most sets are one range: what a machine has of a job
+        return ranges[1] - ranges[0] + 1
     return sum(ranges[1::2]) - sum(ranges[::2]) + len(ranges) // 2
 
 
@@ -37,11 +41,13 @@
     return at % 2 == 1 or (at > 0 and ranges[at - 1] == number)
 
 
-def union(one: Ranges, other: Ranges) -> Ranges:
-    if not one or not other:
-        return list(one or other)
+def union(*sets: Ranges) -> Ranges:
+    """All numbers that are in one of the sets."""
+    filled = [ranges for ranges in sets if ranges]
+    if len(filled) <= 1:
+        return list(filled[0]) if filled else []
     result: Ranges = []
-    for first, last in sorted([*pairs(one), *pairs(other)]):
+    for first, last in sorted(chain.from_iterable(map(pairs, filled))):
         if result and first <= result[-1] + 1:
             result[-1] = max(result[-1], last)
         else:
--- a/src/cloverplank/jobs/records.py
+++ b/src/cloverplank/jobs/records.py
@@ -109,9 +109,7 @@
         """Tasks that are neither done nor on a machine."""
         if self.phase is not Phase.OPEN:
             return []
-        gone = self.done
-        for run in self.runs:
-            gone = ranges.union(gone, run.tasks)
+        gone = ranges.union(self.done, *(run.tasks for run in self.runs))
         return ranges.without([0, self.spec.tasks - 1], gone)
 
     @cached_property
@@ -245,42 +243,60 @@
     return change
 
 
-def _drop(runs: Iterable[Run], machine: str, attempt: int, gone: Ranges) -> list[Run]:
+def _without(runs: Iterable[Run], gone: Mapping[tuple[str, int], list[int]]) -> list[Run]:
+    """The runs less the tasks that are gone, by machine and attempt."""
     result = []
     for run in runs:
-        if run.machine == machine and run.attempt == attempt:
-            left = ranges.without(run.tasks, gone)
-            if left:
-                result.append(msgspec.structs.replace(run, tasks=left))
-        else:
+        numbers = gone.get((run.machine, run.attempt))
+        if numbers is None:
             result.append(run)
+            continue
+        left = ranges.without(run.tasks, ranges.from_numbers(numbers))
+        if left:
+            result.append(msgspec.structs.replace(run, tasks=left))
     return result
 
 
-def end(ended: list[Ended]) -> Change:
-    """Takes tasks off their machines; completed ones are done for good."""
+class TasksEnded:
+    """A change that takes tasks off their machines; completed ones are done for good.
 
-    def change(record: JobRecord) -> JobRecord | None:
-        runs = record.runs
-        done: list[int] = []
-        changed = False
+    More of them may be added until the commit is made: one change of a hundred tasks looks through the record once, a
+    hundred changes of one task a hundred times.
+    """
+
+    def __init__(self, ended: Iterable[Ended]) -> None:
+        self._ended: dict[tuple[MachineId, Attempt, int], Ended] = {}
+        self._add(ended)
+
+    def _add(self, ended: Iterable[Ended]) -> None:
         for one in ended:
-            task = TaskRef(record.id, one.index, one.attempt)
-            if record.run_of(task, one.machine) is None:
+            self._ended.setdefault((one.machine, one.attempt, one.index), one)  # how a task ended is said once
+
+    def join(self, later: TasksEnded) -> None:
+        """Takes in what a later change of the same record says."""
+        self._add(later._ended.values())
+
+    def __call__(self, record: JobRecord) -> JobRecord | None:
+        gone: dict[tuple[str, int], list[int]] = {}
+        done: list[int] = []
+        for one in self._ended.values():
+            if record.run_of(TaskRef(record.id, one.index, one.attempt), one.machine) is None:
                 continue
-            runs = _drop(runs, one.machine, one.attempt, [one.index, one.index])
-            changed = True
+            gone.setdefault((one.machine, one.attempt), []).append(one.index)
             if one.done:
                 done.append(one.index)
-        if not changed:
+        if not gone:
             return None
         all_done = ranges.union(record.done, ranges.from_numbers(done))
         phase = record.phase
         if phase is Phase.OPEN and ranges.count(all_done) == record.spec.tasks:
             phase = Phase.DONE
-        return msgspec.structs.replace(record, runs=runs, done=all_done, phase=phase)
+        return msgspec.structs.replace(record, runs=_without(record.runs, gone), done=all_done, phase=phase)
 
-    return change
+
+def end(ended: list[Ended]) -> TasksEnded:
+    """Takes tasks off their machines; completed ones are done for good."""
+    return TasksEnded(ended)
 
 
 def evict(machine: str, now: WallMs) -> Change:
--- a/src/cloverplank/jobs/store.py
+++ b/src/cloverplank/jobs/store.py
@@ -15,7 +15,7 @@
 from cloverplank.basic_types import JobId, MachineId, Mono, Stamp
 from cloverplank.wire.statesvc import Condition
 
-from .records import Change, JobRecord, Phase, Run
+from .records import Change, JobRecord, Phase, Run, TasksEnded
 
 
 class Pending(Struct, eq=False):
@@ -203,8 +203,9 @@
         self.changed(None, job)
 
     def stage(self, view: CachedJob, pending: Pending) -> None:
-        view.pending.append(pending)
         after = pending.change(view.staged) or view.staged
+        if not _joins(view, pending):
+            view.pending.append(pending)
         if after.runs is view.staged.runs:
             view.staged = after
             return
@@ -220,5 +221,21 @@
             self._index(view, view.record, staged)
 
 
+def _joins(view: CachedJob, pending: Pending) -> bool:
+    """Adds tasks that ended to a change of that kind that still waits: a record would else be gone through once for
+    each of them, and again for each news of it. What is part of a commit on its way stays as it is."""
+    if view.in_flight or not view.pending:
+        return False
+    last = view.pending[-1]
+    if not isinstance(last.change, TasksEnded) or not isinstance(pending.change, TasksEnded):
+        return False
+    if last.future is not None or pending.future is not None or last.conditions != pending.conditions:
+        return False
+    last.change.join(pending.change)
+    last.ready_at = min(last.ready_at, pending.ready_at)
+    last.urgency = min(last.urgency, pending.urgency)
+    return True
+
+
 def _runs_on(record: JobRecord | None) -> dict[str, list[Run]]:
     return {} if record is None else record.runs_on
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -16,3 +16,8 @@
     taken, rest = ranges.take(a, most)
     assert taken == ranges.from_numbers(sorted(one)[:most])
     assert rest == ranges.from_numbers(sorted(one)[most:])
+
+
+@given(st.lists(numbers, max_size=6))
+def test_union_of_any_number_of_sets(sets: list[set[int]]) -> None:
+    assert ranges.union(*map(ranges.from_numbers, sets)) == ranges.from_numbers(set().union(*sets))
