Rounds may take a part of a core, not of the share; packing and renting look less

Rounds now may take 0.036 of a whole core, which is 0.05 of a controller at 0.72 as before, and at the most a quarter of the share. A look for machines to empty made all rooms less the reserve anew for each machine it tried, up to eight times; renting looked at all machines for ordinary ones even where none was asked for.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -50,7 +50,8 @@
 LEAST_BURST = 6.0  # changes that a controller with a small share may make at once: the jobs of a chain come together
 ROUND_S = 0.05  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
-ROUND_PART = 0.05  # of the processor that rounds may take: reports and leases come first
+ROUND_CORES = 0.036  # of a whole core that rounds may take: the work in them does not shrink with the share of a core
+MOST_ROUND_PART = 0.25  # of the own share that rounds may take at the most: reports and leases come first
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
 NOTE_S = 0.1  # between two notes of the own machines in the roster
 DECLINE_GRANTS_S = 20.0
@@ -133,6 +134,7 @@
         # Grants to others by their leases, with the time at which each was last seen to stand.
         self._former: dict[Zone, dict[int, tuple[NodeId, Mono]]] = {z: {} for z in self.zones}
         self._began = clock.mono()
+        self._round_part = min(MOST_ROUND_PART, ROUND_CORES / facts.machine_limits.cpu)
         self.roster = Roster(clock)
         self.returning = Returning(self.mirror)
         self.headroom = Headroom(
@@ -437,7 +439,7 @@
                 took = await self._round(news)
             except Exception:
                 log.exception("round failed")
-            await asyncio.sleep(max(ROUND_S, took * (1 / ROUND_PART - 1)))
+            await asyncio.sleep(max(ROUND_S, took * (1 / self._round_part - 1)))
 
     async def _govern(self) -> None:
         """Leadership, grants, tokens, and letting a block go that hears nobody."""
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -255,8 +255,21 @@
         return self._clock.mono() < self._refused.get(kind, Mono(-1e9))
 
     def _costly(self) -> Callable[[Shortage], int]:
-        """How many of a job's tasks may take ordinary machines in the place of spot ones: those that
-        the machines there are can't do before the job is late, after all that goes before it.
+        """How many of a job's tasks may take ordinary machines in the place of spot ones. Worked out when first
+        asked: while spot machines are to be had nobody asks, and it takes a look at all machines."""
+        allowed: dict[int, int] | None = None
+
+        def of(shortage: Shortage) -> int:
+            nonlocal allowed
+            if allowed is None:
+                allowed = self._ordinary_allowed()
+            return allowed.get(id(shortage), 0)
+
+        return of
+
+    def _ordinary_allowed(self) -> dict[int, int]:
+        """By shortage, the tasks that the machines there are can't do before the job is late, after all that goes
+        before it.
 
         A guarantee alone is no reason: a machine boots for longer than such work should wait, which
         is what preemption is for. What is rented does several tasks one after another.
@@ -285,7 +298,7 @@
                 turns = max(1.0, (left - self._boot_s()) / length)
                 allowed[id(shortage)] = math.ceil(max(0, shortage.tasks - done) / turns)
             queued[zone] += work * shortage.tasks
-        return lambda shortage: allowed.get(id(shortage), 0)
+        return allowed
 
     def _boot_s(self) -> float:
         return max((kind.boot_s for kind in self._types().values()), default=30.0)
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from cloverplank.basic_types import MachineId, Mono, TaskRef
+from cloverplank.basic_types import JobId, MachineId, Mono, TaskRef
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import Room, Rooms, room_for
 from cloverplank.jobs.ranges import numbers
@@ -126,10 +126,12 @@
                 dear = (kind.price if not room.spot else kind.spot_price or kind.price) / max(1.0, kind.cpus)
                 found.append((used / kind.cpus > 0.5, -dear, used, room.machine))
         tries = 0
+        settled: dict[JobId, bool] = {}
+        spare: Rooms | None = None
         for _, _, _, name in sorted(found):
             machine = block.machines[name]
             views = self._movable(machine, now)
-            if views is None or not all(self._settled(v) for v in views):
+            if views is None or not all(self._settled_once(v, settled) for v in views):
                 continue
             if len(self.emptying) >= most:
                 return
@@ -138,13 +140,26 @@
             tries += 1
             if tries > TRIES:
                 return
+            if spare is None:
+                spare = headroom.reserve(rooms, block.zone, block.clock.wall())
             # Without the machine itself: what is kept ready must have its room elsewhere, too.
             rest = rooms.without(name)
-            if self._fits_elsewhere(views, machine, headroom.reserve(rest, block.zone, block.clock.wall())):
-                rooms = rest
+            if spare.by_name[name].cpus < rooms.by_name[name].cpus:
+                others = headroom.reserve(rest, block.zone, block.clock.wall())
+            else:
+                others = spare.without(name).copy()
+            if self._fits_elsewhere(views, machine, others):
+                rooms, spare = rest, None
                 self.emptying[name] = Mono(now - MOVE_PAUSE_S)
                 log.info("pack: emptying machine %s", name)
 
+    def _settled_once(self, view: CachedJob, known: dict[JobId, bool]) -> bool:
+        """`_settled`, asked once a look for each job: replicas of one job are on many machines."""
+        found = known.get(view.id)
+        if found is None:
+            found = known[view.id] = self._settled(view)
+        return found
+
 
 def _takes_over(machine: MachineId, image: str, room: Room) -> bool:
     """Another machine that is in use anyway and has the image: a replica that moves there is away for two commits."""
