--- a/src/cloverplank/basic_types.py
+++ b/src/cloverplank/basic_types.py
@@ -22,6 +22,7 @@
 WallMs = NewType("WallMs", int)  # milliseconds of the time of day
 
 # Steady clocks of two machines drift apart by at most this part.
+KEPT_TASK_NAMES = 80_000  # a report names the same tasks as the one before: 4,000 machines with 16 tasks, and more
 DRIFT = 0.0005
 
 
@@ -37,7 +38,7 @@
         return f"{self.job}/{self.index}"
 
 
-@lru_cache(maxsize=20_000)  # a report names the same tasks as the one before
+@lru_cache(maxsize=KEPT_TASK_NAMES)
 def parse_task(name: str, attempt: int) -> TaskRef | None:
     job, slash, index = name.rpartition("/")
     if not slash or not index.isdecimal() or len(index) > 9:
--- a/src/cloverplank/fleet/cloud.py
+++ b/src/cloverplank/fleet/cloud.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from cloverplank.basic_types import Clock
+from cloverplank.basic_types import Clock, Mono
 from cloverplank.net.messages import Http, NoAnswer, NotSent, Response
 from cloverplank.state.client import Budget
 from cloverplank.wire.cloud import (
@@ -28,6 +28,7 @@
 
 PAGE = 500
 TIMEOUT_S = 4.0
+PAGES_PART = 0.4  # of the calls a second that pages of the list may take
 
 
 class CloudDown(Exception):
@@ -38,11 +39,29 @@
     """None to be had of this type, zone and kind."""
 
 
+class _Pace:
+    """Turns at an even pace."""
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self._clock = clock
+        self._gap_s = 1 / rate
+        self._next_at = clock.mono()
+
+    async def wait_for_turn(self) -> None:
+        """Returns when it is the caller's turn."""
+        now = self._clock.mono()
+        turn_at = max(now, self._next_at)
+        self._next_at = Mono(turn_at + self._gap_s)
+        if turn_at > now:
+            await asyncio.sleep(turn_at - now)
+
+
 class Cloud:
     def __init__(self, http: Http, addr: str, clock: Clock, rps: float) -> None:
         self._http = http
         self._addr = addr
         self._budget = Budget(rps, clock, depth=1.5)
+        self._pages = _Pace(clock, rps * PAGES_PART)
 
     async def _ask(self, method: str, path: str, body: Any = None) -> Response:
         while not self._budget.take():
@@ -84,9 +103,12 @@
             raise CloudDown(str(response.status))
 
     async def machines(self) -> dict[str, ListedMachine]:
+        """The whole list. Its pages keep to a part of the calls, so that rentals and releases never wait for a long
+        one."""
         found: dict[str, ListedMachine] = {}
         after = ""
         while True:
+            await self._pages.wait_for_turn()
             path = f"{MACHINES_PATH}?limit={PAGE}" + (f"&from={after}" if after else "")
             page: MachineList = self._read(await self._ask("GET", path), MachineList)
             for machine in page.machines:
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -14,6 +14,7 @@
 from .records import JobRecord, Placement, zone_cap
 
 TINY = 1e-6
+FULL_SEEN_PART = 8  # full rooms are left out after as many looks at them as an eighth of all rooms
 OVERDUE_MS, FAR_OVERDUE_MS = 100_000, 160_000
 NO_TARGET_MS = 60_000  # what has no target waits this long for cheap room
 
@@ -68,15 +69,17 @@
 class Rooms:
     """What machines have left in one round, by zone.
 
-    Two things keep a look at hundreds of machines from being made for each job. Machines are sorted once,
-    by how full they are when the round begins, and looked through only until a job has what it wants. And
-    room only shrinks while a round goes on, so what found none is remembered: where an easier job has found
-    none, there is none.
+    Three things keep a look at all machines from being made for each job. Machines are sorted once, by how full they
+    are when the round begins, and looked through only until a job has what it wants. Those that have become full are
+    left out from time to time. And room only shrinks while a round goes on, so what found none is remembered: where an
+    easier job has found none, there is none.
     """
 
     def __init__(self, rooms: Iterable[Room], least_cpus: float = 0.0) -> None:
         """`least_cpus`: what has less left is passed over, since no task of this round can use it."""
+        self._least_cpus = least_cpus
         self.by_name: dict[MachineId, Room] = {room.machine: room for room in rooms if room.cpus + TINY >= least_cpus}
+        self._full_seen = 0  # looks at rooms that are full by now, since they were last left out
         self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
         self._groups: dict[tuple[Zone, bool, bool], list[Room]] | None = None  # by zone, up or not, spot or not
         self._with_image: dict[tuple[Zone, bool, bool, str], list[Room]] = {}
@@ -85,10 +88,16 @@
         return iter(self.by_name.values())
 
     def copy(self) -> Rooms:
-        return Rooms(copy(room) for room in self)
+        return self._of(copy(room) for room in self)
 
     def without(self, machine: MachineId) -> Rooms:
-        return Rooms(room for room in self if room.machine != machine)
+        return self._of(room for room in self if room.machine != machine)
+
+    def _of(self, rooms: Iterable[Room]) -> Rooms:
+        """The same round with these rooms, those that have become full included."""
+        result = Rooms(rooms)
+        result._least_cpus = self._least_cpus
+        return result
 
     def _sort(self) -> dict[tuple[Zone, bool, bool], list[Room]]:
         groups = self._groups = {}
@@ -97,6 +106,18 @@
             groups.setdefault(group, []).append(room)
         return groups
 
+    def _is_full(self, room: Room) -> bool:
+        return room.cpus + TINY < self._least_cpus
+
+    def _leave_out_full(self) -> None:
+        """Once enough looks were lost on full rooms to pay for it."""
+        if self._groups is None or self._full_seen * FULL_SEEN_PART < len(self.by_name):
+            return
+        self._full_seen = 0
+        for lists in (self._groups, self._with_image):
+            for key, rooms in lists.items():
+                lists[key] = [room for room in rooms if not self._is_full(room)]  # type: ignore[index]
+
     def _having(self, group: tuple[Zone, bool, bool], image: str) -> list[Room]:
         found = self._with_image.get((*group, image))
         if found is None:
@@ -127,6 +148,7 @@
                 return
         cpus, memory_gb = spec.cpus - TINY, spec.memory_gb - TINY
         wakes = pressing or not spec.spot
+        self._leave_out_full()
         found = False
         for room in self._in_order(spec, zone):
             if (
@@ -137,6 +159,8 @@
             ):
                 found = True
                 yield room
+            elif self._is_full(room):
+                self._full_seen += 1
         if not found:
             known.append(spec)
 
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -15,6 +15,8 @@
 
 IDLE_S = 20.0
 MAX_ANSWER = 8 * 1024 * 1024
+KEPT_ADDRESSES = 16_384  # of workers, read once each
+KEPT_HEADS = 4_096  # of requests: one for each worker and size of body; a head that is not kept is made again
 
 
 class _Connection:
@@ -64,7 +66,7 @@
         return Response(status, chunks[0] if len(chunks) == 1 else b"".join(chunks)), keep
 
 
-@lru_cache(maxsize=4096)
+@lru_cache(maxsize=KEPT_HEADS)
 def _head(host: str, method: str, path: str, size: int | None) -> h11.Request:
     """Made and checked once for requests that are alike: reports and orders mostly are."""
     headers = [("Host", host)]
@@ -73,7 +75,7 @@
     return h11.Request(method=method, target=path, headers=headers)
 
 
-@lru_cache(maxsize=4096)
+@lru_cache(maxsize=KEPT_ADDRESSES)
 def _host_and_port(addr: str) -> tuple[str, int]:
     """Workers tell their addresses themselves: what is no IPv4 number must not become a look-up of a name."""
     host, _, port = addr.rpartition(":")
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -81,7 +81,7 @@
         1.0,
         "part of its time that a job which may use spot machines waits before it wakes an idle ordinary one",
     ),
-    Setting("rent_limit", 1000.0, 1.0, 100000.0, "machines rented at the most"),
+    Setting("rent_limit", 10000.0, 1.0, 100000.0, "machines rented at the most"),
     Setting("refused_pause_s", 8.0, 1.0, 600.0, "pause after the cloud refused a type, zone and kind"),
     Setting("never_up_factor", 4.0, 1.5, 100.0, "boot times after which a machine that is not up is returned"),
     Setting("load_log_s", 0.0, 0.0, 3600.0, "seconds between two log lines on processor time and memory; 0: never"),
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -17,6 +17,9 @@
 # and the shortest bound with which a holder can do its work.
 LEAST_MARGIN_S, LEAST_CONTACT_S = 1.0, 1.0
 LEAST_VALUE_KB = 1.0  # a smaller value holds no job record
+LEAST_CPU = 0.01  # of a core: with less a lease of the shortest life is not renewed in time
+LEAST_MEM_MB = 40.0  # the interpreter and the modules take 22, a few machines and jobs the rest
+LEAST_SOCKETS = 16  # listeners, peers, state service and cloud, and some for workers and users
 Positive = Annotated[float, Meta(gt=0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
@@ -97,9 +100,11 @@
 
 
 class MachineLimits(Struct):
+    """What a controller's own machine gives it: the share of a core, memory, sockets."""
+
     cpu: Positive = 1.0
     mem_mb: Positive = 256.0
-    sockets: Annotated[int, Meta(ge=16)] = 1024
+    sockets: Annotated[int, Meta(ge=LEAST_SOCKETS)] = 1024
 
 
 class Facts(Struct):
@@ -166,6 +171,7 @@
         if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
             raise BadSettings(f"facts.teams: {team.name}: guaranteed more than its limit")
     _check_state_limits(settings.facts.state)
+    _check_machine_limits(settings.facts.machine_limits)
     workers = settings.facts.workers
     least = workers.lease_s * (1 + 2 * DRIFT) + LEAST_MARGIN_S + LEAST_CONTACT_S
     if workers.cancel_s < least:
@@ -181,6 +187,12 @@
         raise BadSettings(f"{where}.value_kb: under {LEAST_VALUE_KB:g} no job record fits")
 
 
+def _check_machine_limits(limits: MachineLimits) -> None:
+    for name, value, least in (("cpu", limits.cpu, LEAST_CPU), ("mem_mb", limits.mem_mb, LEAST_MEM_MB)):
+        if not value >= least:  # not a number is not, either
+            raise BadSettings(f"facts.machine_limits.{name}: {value:g} is too small to serve with; at least {least:g}")
+
+
 def parse_platform(text: str) -> Platform:
     try:
         settings = msgspec.convert(tomllib.loads(text), Platform, strict=False)
--- /dev/null
+++ b/tests/test_many_machines.py
@@ -0,0 +1,196 @@
+"""Thousands of machines: nothing stands below them, and work is counted, not timed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+
+from cloverplank.basic_types import Clock, JobId, MachineId, Stamp, WallMs, Zone
+from cloverplank.fleet.cloud import PAGE, PAGES_PART, Cloud
+from cloverplank.fleet.peer_hints import MACHINES_A_HINT, MAX_MACHINES
+from cloverplank.fleet.roster import Roster
+from cloverplank.jobs import layout, limits, placing, records
+from cloverplank.jobs.limits import Limit
+from cloverplank.jobs.placing import Room, Rooms
+from cloverplank.jobs.records import JobRecord, Placement
+from cloverplank.jobs.store import JobStore
+from cloverplank.net.messages import Response
+from cloverplank.settings.operator import Operator
+from cloverplank.wire.cloud import ListedMachine, MachineList
+from cloverplank.wire.codec import MAX_BODY, encode
+from cloverplank.wire.peers import Hint, MachineHint
+from cloverplank.wire.users import JobSpec
+
+from .test_jobs import spec
+from .world.loop import run
+
+MACHINES = 4_000
+CLOUD_RPS = 2.0
+
+
+def machine_name(number: int) -> str:
+    return f"m-{number:06d}"
+
+
+def test_the_settings_limit_on_rentals_is_no_bar() -> None:
+    assert Operator().rent_limit >= MACHINES
+
+
+def test_a_part_of_the_largest_hint_fits_a_body() -> None:
+    """Names, addresses, zones and images at their longest."""
+    images = [f"image-of-a-long-name-{n:04d}" for n in range(12)]
+    machine = MachineHint(
+        machine_name(999_999),
+        "10.111.222.233:19000",
+        "steppe-16-large",
+        "a-zone-name",
+        True,
+        "doubted",
+        1.5,
+        9.5,
+        images,
+    )
+    cancelled = [f"run-{n:06d}" for n in range(500)]
+    hint = Hint(
+        "plank-0", "a-zone-name", True, {"a-zone-name": MACHINES}, [machine] * MACHINES_A_HINT, cancelled=cancelled
+    )
+    assert len(encode(hint)) <= MAX_BODY
+    assert MACHINES_A_HINT <= MAX_MACHINES
+
+
+class PagedCloud:
+    """Serves a long list in pages and counts what it is asked, with the times."""
+
+    def __init__(self) -> None:
+        self.names = [machine_name(n) for n in range(MACHINES)]
+        self.pages_at: list[float] = []
+
+    async def request(
+        self, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> Response:
+        await asyncio.sleep(0.1)
+        if method == "POST":
+            return Response(200, encode({}))
+        self.pages_at.append(asyncio.get_running_loop().time())
+        after = path.partition("from=")[2]
+        at = self.names.index(after) + 1 if after else 0
+        listed = [
+            ListedMachine(name, "10.1.0.1:9000", "small", "a", True, "running", 5.0)
+            for name in self.names[at : at + PAGE]
+        ]
+        return Response(200, encode(MachineList(listed, at + PAGE < MACHINES)))
+
+
+def test_reading_a_long_list_leaves_calls_for_renting_and_releasing() -> None:
+    """Its pages took all calls of four seconds, while lost machines waited for their release."""
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        service = PagedCloud()
+        cloud = Cloud(service, "10.2.0.2:8443", Clock(loop.time, loop.time), CLOUD_RPS)
+        reading = asyncio.ensure_future(cloud.machines())
+        longest = 0.0
+        while not reading.done():
+            asked = loop.time()
+            await cloud.release([machine_name(1)])
+            longest = max(longest, loop.time() - asked)
+            await asyncio.sleep(1.0)
+        assert len(await reading) == MACHINES
+        assert longest < 1.0
+        gaps = [later - earlier for earlier, later in zip(service.pages_at, service.pages_at[1:], strict=False)]
+        assert min(gaps) >= 1 / (CLOUD_RPS * PAGES_PART) - 0.01
+
+    run(main())
+
+
+def test_a_job_on_thousands_of_machines_is_packed_and_read_back() -> None:
+    record = JobRecord(spec(pieces=MACHINES), 1000, allot={"a": MACHINES})
+    placements = [Placement(MachineId(machine_name(n)), Zone("a"), 1) for n in range(MACHINES)]
+    placed = records.place(placements, 1)(record)
+    assert placed is not None and placed.missing_count() == 0
+    packed = layout.pack(placed)
+    assert packed is not None and layout.unpack(packed) == placed
+
+
+@pytest.mark.parametrize("zones", [1, 3])
+def test_a_round_over_thousands_of_machines_grows_no_faster_than_machines_and_jobs(
+    zones: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Rooms looked at in one split of waiting jobs of several sizes: what is full is not gone through for each job."""
+    looked = 0
+    real = Rooms._in_order
+
+    def counted(rooms: Rooms, job: JobSpec, zone: Zone) -> Iterator[Room]:
+        nonlocal looked
+        for room in real(rooms, job, zone):
+            looked += 1
+            yield room
+
+    monkeypatch.setattr(Rooms, "_in_order", counted)
+    names = [Zone(f"zone-{n}") for n in range(zones)]
+    sizes = [4.0, 2.0, 1.0, 8.0]
+    machines = [
+        Room(MachineId(machine_name(n)), names[n % zones], "small", True, 16.0, 0.0, 64.0) for n in range(MACHINES)
+    ]
+    rooms = Rooms(machines, min(sizes))
+    jobs = [
+        JobRecord(
+            spec(id=f"run-{n:06d}", crew="red", pieces=100, vcpus=sizes[n % 4], loaners=True, yard=None),
+            WallMs(1000 + n),
+        )
+        for n in range(800)
+    ]
+    turns = placing.in_order(jobs, {"red": (1e9, 0.0)})
+    totals = limits.totals(turns, lambda job: 0, {"red": Limit(1e9, 1e9)})
+    allotted = 0
+    for turn in turns:
+        allotment, _ = limits.split(turn, totals[turn.record.id], dict.fromkeys(names, 1.0), rooms, lambda zone: True)
+        allotted += sum(allotment.values())
+    assert allotted == 800 * 100
+    assert looked <= 15 * MACHINES  # 178 times as many before full rooms were left out
+
+
+def test_a_third_lost_at_once_is_counted_once_each(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each eviction concerns the jobs of one machine; the others of a block are not gone through for it."""
+    store = JobStore()
+    tasks_each = 40
+    for number in range(MACHINES // tasks_each):
+        record = JobRecord(spec(id=f"run-{number:06d}", pieces=tasks_each), 1000, allot={"a": tasks_each})
+        placements = [
+            Placement(MachineId(machine_name(number * tasks_each + n)), Zone("a"), 1) for n in range(tasks_each)
+        ]
+        placed = records.place(placements, 1)(record)
+        assert placed is not None
+        store.apply(JobId(record.spec.id), placed, Stamp(number + 1))
+    counted: list[MachineId] = []
+    real = store._count_change
+    monkeypatch.setattr(store, "_count_change", lambda machine: (counted.append(machine), real(machine)))
+    lost = [MachineId(machine_name(n)) for n in range(0, MACHINES, 3)]
+    for name in lost:
+        for view in store.on(name):
+            after = records.evict(name, 2000)(view.record)
+            assert after is not None
+            store.apply(view.id, after, Stamp(view.stamp + MACHINES))
+    assert sorted(counted) == sorted(lost)
+    assert all(not store.on(name) for name in lost)
+
+
+def test_the_roster_takes_and_forgets_thousands() -> None:
+    now = [1000.0]
+    roster = Roster(Clock(lambda: now[0], lambda: now[0]))
+    listed = {
+        machine_name(n): ListedMachine(machine_name(n), "10.1.0.1:9000", "small", "a", True, "running", 5.0)
+        for n in range(MACHINES)
+    }
+    roster.listed(listed, 3.0)
+    assert len(roster.known) == MACHINES
+    for n in range(0, MACHINES, 3):
+        roster.release(machine_name(n))
+    roster.listed(listed, 3.0)
+    assert len(roster.known) == MACHINES - len(range(0, MACHINES, 3))
+    now[0] += 700.0
+    roster.listed({}, 3.0)
+    assert not roster.known and not roster.left
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -68,6 +68,21 @@
     assert line.split()[0] in str(caught.value) and "next" in str(caught.value) and "\n" not in str(caught.value)
 
 
+@pytest.mark.parametrize("value", ["0", "0.0", "-1", "nan", "inf", '"many"', "0.000001", "[1]", "true"])
+@pytest.mark.parametrize("name", ["cpu", "mem_mb", "sockets"])
+def test_a_machine_that_can_not_serve_is_named_in_one_line(name: str, value: str) -> None:
+    with pytest.raises(BadSettings) as caught:
+        parse_platform(GOOD + f"[facts.machine_limits]\n{name} = {value}")
+    assert name in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_the_smallest_machines_in_use_are_accepted() -> None:
+    limits = parse_platform(
+        GOOD + "[facts.machine_limits]\ncpu = 0.05\nmem_mb = 64\nsockets = 100"
+    ).facts.machine_limits
+    assert (limits.cpu, limits.mem_mb, limits.sockets) == (0.05, 64.0, 100)
+
+
 def test_what_is_printed_can_be_read_again() -> None:
     operator = parse_operator('idle_release_s: 7 zone_weight { zone: "a" weight: 2.5 } of_tomorrow: 3')
     assert operator.idle_release_s == 7 and operator.weight("a") == 2.5 and operator.weight("b") == 1
