--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -39,7 +39,7 @@
     assert not one.may_start_late(ref)
 
 
-def test_orders_without_an_answer_may_come_late_until_session_or_baton_moves_on() -> None:
+def test_orders_without_an_answer_may_come_late_until_session_or_token_moves_on() -> None:
     one = machine()
     ref = TaskRef("run-1", 0, 1)  # type: ignore[arg-type]
     one.take(report(1, 1), FencingToken(5), Mono(1.0), True)
@@ -202,7 +202,7 @@
     run(play())
 
 
-def test_a_machine_that_shows_none_of_our_batons_is_not_answered_for_ever() -> None:
+def test_a_machine_that_shows_none_of_our_tokens_is_not_answered_for_ever() -> None:
     """Each answer might have renewed a lease, so its tasks were never proven gone."""
 
     async def play() -> None:
@@ -211,7 +211,7 @@
         await asyncio.sleep(30)
         controller, machine = heard(world)
         block = next(iter(controller.blocks.values()))
-        old = Report(machine.id, machine.stint, machine.tally, 0, machine.addr, machine.type, machine.zone)
+        old = Report(machine.id, machine.session, machine.tally, 0, machine.addr, machine.type, machine.zone)
         with pytest.raises(Unanswered):
             for number in range(1, 9):
                 block.on_report(msgspec.structs.replace(old, seq=machine.tally + number))
@@ -445,7 +445,7 @@
     run(play())
 
 
-def test_a_baton_that_nobody_was_granted_deposes_nobody_for_long() -> None:
+def test_a_token_that_nobody_was_granted_deposes_nobody_for_long() -> None:
     """One worker's contradictory message kept a holder from answering all others until it was restarted."""
 
     async def play() -> None:
