Blocks apart from the leader on small machines alone; rounds keep their part on large ones

Now the leader comes first again from 0.4 of a core on, and rounds get the larger of 0.05 of the share and 0.025 of a core.

--- a/src/cloverplank/fleet/grants.py
+++ b/src/cloverplank/fleet/grants.py
@@ -20,6 +20,7 @@
 
 HINT_FRESH_S = 4.0  # what a peer said longer ago than this is not believed any more
 HINT_WELL_S = 2.5  # a peer that has sent no hint for two periods may have ended: others go before it
+SMALL_CPU = 0.4  # with less of a core than this the reports of a zone and leading are too much for one controller
 INTRODUCTION_S = 0.5  # a new leader gives peers that it never heard this long to introduce themselves
 JOIN_GRACE_S = 1.0  # a new leader gives controllers of a zone this long to join before it grants the block elsewhere
 
@@ -36,9 +37,13 @@
     heard: int  # workers of the zone that ask it
 
     def preference(self) -> tuple[bool, bool, int, int, NodeId]:
-        """The greatest is granted the block."""
+        """The greatest is granted the block of a small machine."""
         return self.in_zone, self.well, -self.roles, self.heard, self.node
 
+    def preference_if_leader(self, leader: NodeId) -> tuple[bool, bool, bool, int, NodeId]:
+        """The same where machines are large: the leader, which splits and places in one commit."""
+        return self.in_zone, self.well, self.node == leader, self.heard, self.node
+
 
 class Grants:
     """Acts only while the session says that this controller leads. `peers`: the latest hint of each, with its time."""
@@ -47,6 +52,7 @@
         self,
         zones: list[Zone],
         controllers: int,
+        cpu: float,
         clock: Clock,
         session: Session,
         mirror: Mirror,
@@ -55,6 +61,7 @@
     ) -> None:
         self._zones = zones
         self._controllers = controllers
+        self._apart = cpu < SMALL_CPU
         self._clock = clock
         self._session = session
         self._mirror = mirror
@@ -114,24 +121,37 @@
                 log.info("grant: block %s to %s, token %d", zone, node, answer.revision)
 
     def _candidate(self, zone: Zone) -> tuple[NodeId, NodeRecord, Stamp] | None:
-        """Who gets a block: a controller in the zone that is well, with the least to do otherwise. The reports of a
-        zone take most of a small machine, and the leader has rounds and renting to do."""
+        """Who gets a block: a controller in the zone that is well. On small machines the one with the least to do
+        otherwise: the reports of a zone take most of one, and the leader has rounds and renting to do."""
         now = self._clock.mono()
         best: Candidate | None = None
         for name, (record, stamp) in self._mirror.under(keys.NODES, NodeRecord).items():
             candidate = self._as_candidate(zone, NodeId(name), record, stamp, now)
-            if candidate is not None and (best is None or candidate.preference() > best.preference()):
+            if candidate is not None and (best is None or self._preference(candidate) > self._preference(best)):
                 best = candidate
         if best is None:
             return None
         if not best.in_zone and self.led_for() < JOIN_GRACE_S:
             return None  # one in the zone may be about to join
-        if best.node == self._session.me and self.led_for() < INTRODUCTION_S and self._waits_for_hints(zone):
+        if (
+            self._apart
+            and best.node == self._session.me
+            and self.led_for() < INTRODUCTION_S
+            and self._waits_for_hints(zone)
+        ):
             return None
         return best.node, best.record, best.stamp
 
+    def _preference(self, candidate: Candidate) -> tuple[bool, bool, int, int, NodeId]:
+        if self._apart:
+            return candidate.preference()
+        return candidate.preference_if_leader(self._session.me)
+
     def _waits_for_hints(self, zone: Zone) -> bool:
-        """Another controller of the zone has joined, and has not been heard since its start or ours."""
+        """Another controller of the zone has joined that might be preferred, and has not been heard since its start or
+        ours."""
+        if not self._apart or self.led_for() >= INTRODUCTION_S:
+            return False
         members = self._session.members()
         return any(
             record.zone == zone and node != self._session.me and node not in self._peers
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -83,7 +83,16 @@
         self._refused: dict[Kind, Mono] = {}
         self._rental_seq = 0
         self._commits = LeaderCommits(session, mirror, queue, platform.facts.state.lowest().txn_ops)
-        self.grants = Grants(list(self._zones), 1 + len(platform.peers), clock, session, mirror, queue, peers)
+        self.grants = Grants(
+            list(self._zones),
+            1 + len(platform.peers),
+            platform.facts.machine_limits.cpu,
+            clock,
+            session,
+            mirror,
+            queue,
+            peers,
+        )
         self._releases = Releases(
             operator,
             clock,
--- a/src/cloverplank/rounds.py
+++ b/src/cloverplank/rounds.py
@@ -13,6 +13,7 @@
 ROUND_S = 0.05  # between two rounds of decisions at the least
 IDLE_ROUND_S = 0.25  # and at the most
 ROUND_CORES = 0.025  # of a whole core that rounds may take: the work in them does not shrink with the share of a core
+LEAST_ROUND_PART = 0.05  # of the own share that rounds may take in any case
 MOST_ROUND_PART = 0.25  # of the own share that rounds may take at the most: reports and leases come first
 STILL_S = 1.0  # between two rounds while nothing has changed: only clocks are looked at in between
 
@@ -23,7 +24,7 @@
     def __init__(self, clock: Clock, cpu: float, steps: Callable[[bool], Iterator[None]]) -> None:
         """`cpu`: the share of a core that this process has."""
         self._clock = clock
-        self._part = min(MOST_ROUND_PART, ROUND_CORES / cpu)
+        self._part = min(MOST_ROUND_PART, max(LEAST_ROUND_PART, ROUND_CORES / cpu))
         self._steps = steps
         self._requested = asyncio.Event()
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,7 @@
     peers=PEER.format(label="c-1", zone="a", number=2),
     teams=TEAM.format(name="red", cpus=1.0, most=2.0),
     coming="",
+    machine="",
 )
 
 
