Rollout: gates, capabilities, phases with a retreat, fencing by version, migration

Change: package cloverplank.rollout. Registry of features; cp/rollout with the cluster version, moved by the leader alone through pure steps, each one commit on the stamps that it rests on; writes of the compact shape carry the stamps of the gate; a process that can't read the version takes no lease, says why and answers 503; excused controllers are barred by a record without a lease; records are rewritten in the background, least urgent. Settings block rollout { }, off by default: then cp/format is announced as before, now on condition of the controllers' keys. mirror: keys whose values can't be read are kept with their stamps. Ruled out: gates with versions of their own, both shapes side by side (docs/rollout.md).

--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -23,7 +23,9 @@
     from cloverplank.settings.platform import read_platform
 
     try:
-        return read_platform(config), read_operator(operator or OPERATOR_FILE)
+        platform, operators = read_platform(config), read_operator(operator or OPERATOR_FILE)
+        operators.rollout.check_names(platform.controllers())
+        return platform, operators
     except BadSettings as err:
         click.echo(f"cloverplank: {err}", err=True)
         sys.exit(2)
@@ -156,3 +158,29 @@
 def cancel(controller: str, job: str) -> None:
     """Cancel a job."""
     _ask(controller, "POST", _job_path(job) + "/cancel", b"")
+
+
+@main.group()
+def rollout() -> None:
+    """Staged rollouts of new stored shapes."""
+
+
+@rollout.command()
+@CONFIG
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
+def status(config: Path, as_json: bool) -> None:
+    """Show phase, controllers and what is waited for, from committed state."""
+    from cloverplank.rollout.status import NO_STATUS, read_status
+    from cloverplank.settings.platform import read_platform
+
+    try:
+        platform = read_platform(config)
+    except BadSettings as err:
+        click.echo(f"cloverplank: {err}", err=True)
+        sys.exit(2)
+    try:
+        found = read_status(platform)
+    except NO_STATUS as err:
+        click.echo(f"cloverplank: no answer from the state service {platform.outside.state}: {err}", err=True)
+        sys.exit(1)
+    click.echo(found.as_json() if as_json else found.as_text())
--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -28,9 +28,15 @@
 from cloverplank.jobs.store import CachedJob, JobStore
 from cloverplank.load import LoadMeter, NoMeter, Part
 from cloverplank.net.messages import Http, Request, Response, answer
+from cloverplank.rollout.committed import CommittedRollout
+from cloverplank.rollout.driver import Deployment, RolloutDriver
+from cloverplank.rollout.fence import VersionFence
+from cloverplank.rollout.gates import NEWEST_VERSION
+from cloverplank.rollout.migration import Migration
 from cloverplank.rounds import Rounds
 from cloverplank.settings.operator import Operator
 from cloverplank.settings.platform import Platform, contact_bound
+from cloverplank.settings.rollout import RolloutSettings
 from cloverplank.state import keys
 from cloverplank.state.client import Budget, Lost, StateClient
 from cloverplank.state.fresh import Fresh
@@ -53,6 +59,13 @@
 WATCH_LEASES = 0.375  # of the controller's lease that a watch without news waits at the most
 
 
+def _goal(settings: RolloutSettings) -> int | None:
+    """The cluster version that the operators want; None where staged rollouts are switched off."""
+    if not settings.enabled:
+        return None
+    return NEWEST_VERSION if settings.goal is None else settings.goal
+
+
 class Controller:
     def __init__(
         self,
@@ -83,12 +96,14 @@
         )
         self.store = JobStore()
         self.mirror = Mirror(self.client, self.store, clock, first_watch_gap(state_limits, count))
+        self.committed = CommittedRollout(self.mirror)
         space = RecordSpace(
             int(facts.state.value_kb * BYTES_A_KB),
             int(state_limits.value_kb * BYTES_A_KB),
-            self.mirror.compact_allowed,
+            self.committed.compact_allowed,
+            self.committed.may_stay_compact,
         )
-        self.queue = CommitQueue(self.client, self.mirror, clock, space)
+        self.queue = CommitQueue(self.client, self.mirror, clock, space, self.committed.conditions)
         self.fresh = Fresh(self.client, self.mirror, clock, state_limits.txn_ops)
         workers = facts.workers
         hold_on_s = contact_bound(
@@ -103,9 +118,21 @@
             self.client,
             self.mirror,
             clock,
+            VersionFence(self.client, self.committed),
+            _goal(operator.rollout),
             own_lease_s,
             hold_on_s,
         )
+        self.rollout = RolloutDriver(
+            Deployment(frozenset(NodeId(name) for name in platform.controllers()), state_limits.txn_ops),
+            operator.rollout,
+            clock,
+            self.session,
+            self.mirror,
+            self.queue,
+            self.committed,
+            Migration(self.mirror, self.queue, clock, space),
+        )
         self.limits = Limits(
             report_s=workers.report_s,
             lease_s=workers.lease_s,
@@ -241,6 +268,8 @@
                 return answer(405, ErrorAnswer("POST only"), Allow="POST")
             with self._meter.section(Part.REPORTS):
                 return self.reports.handle(request.body)
+        if self.session.fence.refusal() is not None:
+            return answer(503, ErrorAnswer("this program can't read what is stored"), Retry_After="1")
         if path == JOBS_PATH or path.startswith(JOBS_PATH + "/"):
             return await self._meter.metered(Part.USERS, self.users.handle(request))
         if path == "/ready":
@@ -251,7 +280,7 @@
 
     def ready(self) -> bool:
         """Can take requests. In an outage of the state service for all, nobody else could either."""
-        if not self._types or not self.mirror.loaded:
+        if not self._types or not self.mirror.loaded or self.session.fence.refusal() is not None:
             return False
         if not self.client.down(2.5):
             return True
@@ -353,7 +382,7 @@
                 if self.mirror.loaded:
                     await self.session.seek_leadership()
                     await self.leader.grants.grant_blocks()
-                    await self.leader.grants.announce_format()
+                    await self.rollout.tend()
                     for block in list(self.blocks.values()):
                         await self.own.tend(block, self._peers_are_well())
                 self.shares.update()
--- a/src/cloverplank/fleet/grants.py
+++ b/src/cloverplank/fleet/grants.py
@@ -1,4 +1,4 @@
-"""The leader's grants of blocks, and the format version that it announces."""
+"""The leader's grants of blocks."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from cloverplank.basic_types import Clock, Mono, NodeId, Stamp, Zone
 from cloverplank.state import keys
 from cloverplank.state.client import Lost, Refused, Unknown
-from cloverplank.state.keys import BlockRecord, FormatRecord, NodeRecord
+from cloverplank.state.keys import BlockRecord, NodeRecord
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session
@@ -51,7 +51,6 @@
     def __init__(
         self,
         zones: list[Zone],
-        controllers: int,
         cpu: float,
         clock: Clock,
         session: Session,
@@ -60,7 +59,6 @@
         peers: dict[NodeId, tuple[Hint, Mono]],
     ) -> None:
         self._zones = zones
-        self._controllers = controllers
         self._apart = cpu < SMALL_CPU
         self._clock = clock
         self._session = session
@@ -74,26 +72,6 @@
         """Seconds for which this controller has led, if it does."""
         return self._clock.mono() - self._led_since
 
-    async def announce_format(self) -> None:
-        """Commits the format version that all controllers read, once every one of them shows it."""
-        stamp = self._session.leads()
-        if stamp is None or self._mirror.compact_allowed():
-            return
-        nodes = self._mirror.under(keys.NODES, NodeRecord)
-        able = [record for record, _ in nodes.values() if record.format >= keys.FORMAT_VERSION]
-        if len(able) < self._controllers:
-            return
-        key = keys.FORMAT
-        conditions = [Condition(keys.LEADER, stamp), Condition(key, self._mirror.stamp(key))]
-        put = Put(key, FormatRecord(keys.FORMAT_VERSION))
-        try:
-            answer = await self._queue.commit(Commit(conditions, [put]), Urgency.LEASE, once=True)
-        except (Lost, Full, Refused, Unknown) as err:
-            log.debug("format version: %s", err)
-            return
-        if not answer.failed:
-            log.info("all %d controllers read format version %d", len(able), keys.FORMAT_VERSION)
-
     async def grant_blocks(self) -> None:
         """Grants each block that nobody holds."""
         stamp = self._session.leads()
@@ -160,6 +138,8 @@
 
     def _as_candidate(self, zone: Zone, node: NodeId, record: NodeRecord, stamp: Stamp, now: Mono) -> Candidate | None:
         """None: it wants no block."""
+        if not record.is_there():
+            return None
         roles = sum(self._session.holder(other) == node for other in self._zones)
         in_zone = record.zone == zone
         if node == self._session.me:
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -85,7 +85,6 @@
         self._commits = LeaderCommits(session, mirror, queue, platform.facts.state.lowest().txn_ops)
         self.grants = Grants(
             list(self._zones),
-            1 + len(platform.peers),
             platform.facts.machine_limits.cpu,
             clock,
             session,
--- a/src/cloverplank/jobs/layout.py
+++ b/src/cloverplank/jobs/layout.py
@@ -20,6 +20,7 @@
 from . import ranges
 from .ranges import Ranges
 from .records import Eviction, JobRecord, Phase, Run
+from .shapes import Shape
 
 FEW_RUNS = 12  # a record with no more than these is stored plain without being measured
 PLAIN_SHARE = 0.6  # of the largest value that a plain record may take where the compact layout is allowed
@@ -49,20 +50,30 @@
 Stored = JobRecord | CompactRecord
 
 
-def read_job(value: bytes | Stored) -> JobRecord:
-    """The record, in whichever layout it was stored. Raises BadMessage."""
-    if isinstance(value, JobRecord):
-        return value
-    if isinstance(value, CompactRecord):
-        return unpack(value)
+def decode_stored(value: bytes) -> Stored:
+    """What was stored, in whichever layout. Raises BadMessage."""
     try:
         return decode(value, JobRecord)
     except BadMessage as plain:
         try:
-            compact = decode(value, CompactRecord)
+            return decode(value, CompactRecord)
         except BadMessage:
             raise plain from None
-        return unpack(compact)
+
+
+def record_of(found: Stored) -> JobRecord:
+    """The record that was stored. Raises BadMessage."""
+    return found if isinstance(found, JobRecord) else unpack(found)
+
+
+def read_job(value: bytes) -> JobRecord:
+    """The record, in whichever layout it was stored. Raises BadMessage."""
+    return record_of(decode_stored(value))
+
+
+def shape_of(found: Stored) -> Shape:
+    """The shape of what is stored."""
+    return Shape.PLAIN if isinstance(found, JobRecord) else Shape.COMPACT
 
 
 def stored(record: JobRecord, value_bytes: int, compact_allowed: bool) -> Stored:
--- /dev/null
+++ b/src/cloverplank/rollout/commits.py
@@ -0,0 +1,78 @@
+"""The commit that carries out a step of a rollout, with all that it is conditional on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from cloverplank.basic_types import NodeId, Stamp
+from cloverplank.state import keys
+from cloverplank.state.keys import NO_LEASE, NodeRecord
+from cloverplank.state.mirror import Mirror
+from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
+
+from .committed import CommittedRollout
+from .records import FormatRecord, RolloutPhase
+from .steps import Step
+
+CONDITIONS_A_CHANGE = 4  # of a transaction, for each change that it may make
+KEY_CONDITIONS = 3  # leader, rollout, format
+KEY_CHANGES = 2  # rollout, format
+
+
+class StepLimits(Struct, frozen=True):
+    """How much one step's commit may take of a transaction."""
+
+    most_pins: int
+    most_barred: int
+
+
+def step_limits(txn_ops: int) -> StepLimits:
+    """What a transaction of so many changes leaves beside the keys of the rollout itself."""
+    return StepLimits(txn_ops * CONDITIONS_A_CHANGE - KEY_CONDITIONS, max(0, txn_ops - KEY_CHANGES))
+
+
+class StepCommits:
+    """Makes commits from the mirror that the step was decided on."""
+
+    def __init__(self, mirror: Mirror, committed: CommittedRollout, txn_ops: int) -> None:
+        self._mirror = mirror
+        self._committed = committed
+        self._txn_ops = txn_ops
+
+    def commit(self, leader: Stamp, step: Step) -> Commit:
+        """It fails if anything that the step rests on has changed."""
+        conditions = [Condition(keys.LEADER, leader)]
+        conditions += [self._as_known(key) for key in (keys.ROLLOUT, keys.FORMAT)]
+        conditions += [Condition(keys.node(name), stamp) for name, stamp in step.pinned.items()]
+        conditions += [self._as_known(keys.node(name)) for name in sorted(step.barred)]
+        changes: list[Put | Delete] = [Put(keys.ROLLOUT, step.record)]
+        if step.record.version != self._committed.announced():
+            changes.append(_announcement(step.record.version))
+        bar = NodeRecord("", NO_LEASE, step.record.version, step.record.version)
+        changes += [Put(keys.node(name), bar) for name in sorted(step.barred)]
+        if step.record.phase is RolloutPhase.FINALIZED and step.record.version < self._committed.current().version:
+            readmitted = list(self._bars())[: self._txn_ops - len(changes)]
+            conditions += [self._as_known(key) for key in readmitted]
+            changes += [Delete(key) for key in readmitted]
+        return Commit(conditions, changes)
+
+    def announcement(self, leader: Stamp, version: int, able: dict[NodeId, Stamp]) -> Commit:
+        """Announces a version without a rollout. Conditional on the controllers' keys as far as a transaction goes."""
+        conditions = [Condition(keys.LEADER, leader), *map(self._as_known, (keys.ROLLOUT, keys.FORMAT))]
+        pins = [Condition(keys.node(name), stamp) for name, stamp in able.items()]
+        conditions += pins[: step_limits(self._txn_ops).most_pins]
+        return Commit(conditions, [_announcement(version)])
+
+    def _as_known(self, key: str) -> Condition:
+        return Condition(key, self._mirror.any_stamp(key))
+
+    def _bars(self) -> Iterable[str]:
+        """Keys that keep excused controllers out: where the version has gone down, older programs may join again."""
+        nodes = self._mirror.under(keys.NODES, NodeRecord)
+        return (keys.node(name) for name, (record, _) in nodes.items() if not record.is_there())
+
+
+def _announcement(version: int) -> Put | Delete:
+    return Put(keys.FORMAT, FormatRecord(version)) if version else Delete(keys.FORMAT)
--- /dev/null
+++ b/src/cloverplank/rollout/committed.py
@@ -0,0 +1,81 @@
+"""What the committed rollout allows this controller, read from its mirror of the state service."""
+
+from __future__ import annotations
+
+from cloverplank.basic_types import JobId, Stamp
+from cloverplank.jobs.shapes import CompactUse, Shape
+from cloverplank.state import keys
+from cloverplank.state.mirror import Mirror
+from cloverplank.wire.statesvc import Condition
+
+from .gates import COMPACT_RECORDS, NEWEST_VERSION, OLDEST_VERSION
+from .records import FormatRecord, RolloutPhase, RolloutRecord, initial_record
+
+
+def compact_use(current: RolloutRecord) -> CompactUse:
+    """What a rollout's state allows for the compact shape."""
+    gate = COMPACT_RECORDS.version
+    if current.version < gate:
+        return CompactUse.NEVER
+    if current.version == gate and current.phase is RolloutPhase.RETREATING:
+        return CompactUse.LEAVING
+    return CompactUse.ALLOWED
+
+
+def why_unreadable(current: RolloutRecord) -> str | None:
+    """Why this program must not serve at the cluster version; None where it may."""
+    # In a retreat, or on the way to a version, records of both versions are stored.
+    if not OLDEST_VERSION <= current.version <= NEWEST_VERSION:
+        return f"the cluster version is {current.version}, this program reads {OLDEST_VERSION} to {NEWEST_VERSION}"
+    return None
+
+
+class CommittedRollout:
+    """The gate of every write in a shape that not all versions read."""
+
+    def __init__(self, mirror: Mirror) -> None:
+        self._mirror = mirror
+
+    def announced(self) -> int:
+        """The version of the format key, 0 without one."""
+        found = self._mirror.value(keys.FORMAT, FormatRecord)
+        return 0 if found is None else found[0].version
+
+    def stored(self) -> RolloutRecord | None:
+        """The committed record; None where no rollout was ever begun, or it can't be read."""
+        found = self._mirror.value(keys.ROLLOUT, RolloutRecord)
+        return None if found is None else found[0]
+
+    def current(self) -> RolloutRecord:
+        """The committed record, or what holds without one."""
+        return self.stored() or initial_record(self.announced())
+
+    def unreadable_keys(self) -> list[str]:
+        """Keys that decide about shapes and can't be read."""
+        return [key for key in (keys.ROLLOUT, keys.FORMAT) if key in self._mirror.unreadable]
+
+    def compact_use(self) -> CompactUse:
+        """What may be written in the compact shape now. Where the keys can't be read nothing becomes compact."""
+        return CompactUse.LEAVING if self.unreadable_keys() else compact_use(self.current())
+
+    def compact_allowed(self) -> bool:
+        """Records may become compact."""
+        return self.compact_use() is CompactUse.ALLOWED
+
+    def may_stay_compact(self, job: JobId) -> bool:
+        """The record is stored compact and may be stored so again if it does not fit in the plain shape."""
+        return job in self._mirror.compact_jobs and self.compact_use() is CompactUse.LEAVING
+
+    def conditions(self, shape: Shape) -> list[Condition]:
+        """What a write of the shape is conditional on: the keys as this controller knows them."""
+        if shape is Shape.PLAIN:
+            return []
+        return [Condition(key, self._mirror.any_stamp(key)) for key in (keys.ROLLOUT, keys.FORMAT)]
+
+    def why_unreadable(self) -> str | None:
+        """Why this program must not serve any more, by what the mirror shows."""
+        return why_unreadable(self.current())
+
+    def stamp(self) -> Stamp:
+        """The stamp of the rollout's key; 0 without one."""
+        return self._mirror.any_stamp(keys.ROLLOUT)
--- /dev/null
+++ b/src/cloverplank/rollout/driver.py
@@ -0,0 +1,168 @@
+"""Carries out the steps of a rollout while this controller leads."""
+
+from __future__ import annotations
+
+import logging
+
+from msgspec import Struct
+
+from cloverplank.basic_types import Clock, Mono, NodeId, Stamp
+from cloverplank.settings.rollout import RolloutSettings
+from cloverplank.state import keys
+from cloverplank.state.client import Lost, Refused, Unknown
+from cloverplank.state.keys import NodeRecord
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Full, Urgency
+from cloverplank.state.session import Session
+from cloverplank.wire.statesvc import Commit, CommitAnswer
+
+from . import steps
+from .commits import StepCommits, step_limits
+from .committed import CommittedRollout
+from .gates import NEWEST_VERSION
+from .migration import Migration
+from .observation import observe
+from .records import RolloutPhase, RolloutRecord
+from .steps import MS_A_SECOND, Orders, Step
+
+log = logging.getLogger("cloverplank.rollout")
+
+LOOK_S = 0.5  # between two looks at the facts
+
+
+def orders_from(settings: RolloutSettings) -> Orders:
+    """What the operators' file asks for."""
+    return Orders(
+        int(settings.soak_s * MS_A_SECOND),
+        None if settings.hold_at is None else RolloutPhase(settings.hold_at),
+        frozenset(NodeId(name) for name in settings.excused),
+        NEWEST_VERSION if settings.goal is None else settings.goal,
+    )
+
+
+class Deployment(Struct, frozen=True):
+    """What the settings say of the cluster."""
+
+    controllers: frozenset[NodeId]
+    txn_ops: int
+
+
+class RolloutDriver:
+    """Acts only while the session says that this controller leads."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        settings: RolloutSettings,
+        clock: Clock,
+        session: Session,
+        mirror: Mirror,
+        queue: CommitQueue,
+        committed: CommittedRollout,
+        migration: Migration,
+    ) -> None:
+        self._deployment = deployment
+        self._settings = settings
+        self._clock = clock
+        self._session = session
+        self._mirror = mirror
+        self._queue = queue
+        self._committed = committed
+        self._migration = migration
+        self._next_look = Mono(-1e9)
+        self._told: tuple[str, ...] = ()
+        self._orders = orders_from(settings)
+        self._limits = step_limits(deployment.txn_ops)
+        self._commits = StepCommits(mirror, committed, deployment.txn_ops)
+
+    async def tend(self) -> None:
+        """Takes the next step, if this controller leads and there is one."""
+        leader = self._session.leads()
+        if leader is None:
+            return
+        if not self._settings.enabled:
+            await self._announce(leader)
+            return
+        now = self._clock.mono()
+        if now < self._next_look:
+            return
+        self._next_look = Mono(now + LOOK_S)
+        await self._look(leader)
+
+    # -- without staged rollouts
+
+    async def _announce(self, leader: Stamp) -> None:
+        """Commits the newest version once every controller reads it, with no way back."""
+        if self._committed.announced() >= NEWEST_VERSION or self._mirror.any_stamp(keys.ROLLOUT):
+            return
+        if keys.FORMAT in self._mirror.unreadable:
+            return
+        nodes = self._mirror.under(keys.NODES, NodeRecord)
+        able = {
+            NodeId(name): stamp
+            for name, (record, stamp) in nodes.items()
+            if record.is_there() and record.format >= NEWEST_VERSION
+        }
+        if len(able) < len(self._deployment.controllers):
+            return
+        if await self._commit(self._commits.announcement(leader, NEWEST_VERSION, able)) is not None:
+            log.info("all %d controllers read format version %d", len(able), NEWEST_VERSION)
+
+    # -- staged rollouts
+
+    async def _look(self, leader: Stamp) -> None:
+        unreadable = self._committed.unreadable_keys()
+        if unreadable:
+            self._tell(tuple(f"{key} can't be read: the version stays as it is" for key in unreadable))
+            return
+        current = self._committed.current()
+        left = self._records_left(current, self._committed.stamp())
+        now = self._clock.wall()
+        facts = observe(self._mirror, self._committed, self._deployment.controllers, self._limits, now, left)
+        outcome = steps.next_step(current, facts, self._orders)
+        excuses = steps.refused_excuses(facts, self._orders)
+        if isinstance(outcome, Step):
+            self._tell(excuses)
+            await self._take(leader, current, outcome)
+        else:
+            self._tell(excuses + outcome.reasons)
+
+    def _records_left(self, current: RolloutRecord, since: Stamp) -> int | None:
+        """Counts what has to be rewritten, and has some of it rewritten."""
+        if current.phase not in (RolloutPhase.ACTIVE, RolloutPhase.RETREATING):
+            return 0
+        if not self._mirror.loaded or self._mirror.revision < since:
+            return None
+        left = self._migration.left(current, since)
+        if self._settings.hold_at != RolloutPhase.ACTIVE.value or current.phase is RolloutPhase.RETREATING:
+            self._migration.advance(left, since)
+        stuck = self._migration.stuck(left, since)
+        if stuck:
+            log.debug("rollout: %s fit in their shape only", ", ".join(stuck))
+        return len(left)
+
+    async def _take(self, leader: Stamp, current: RolloutRecord, step: Step) -> None:
+        if await self._commit(self._commits.commit(leader, step)) is None:
+            return
+        log.info(
+            "rollout: %s -> %s, version %d: %s",
+            current.phase.value,
+            step.record.phase.value,
+            step.record.version,
+            step.reason,
+        )
+
+    async def _commit(self, commit: Commit) -> CommitAnswer | None:
+        """The answer to a commit that was carried out; None otherwise: the facts have changed, or nothing is known."""
+        try:
+            answer = await self._queue.commit(commit, Urgency.LEASE, once=True)
+        except (Lost, Full, Refused, Unknown) as err:
+            log.debug("rollout: %s", err)
+            return None
+        return None if answer.failed else answer
+
+    def _tell(self, reasons: tuple[str, ...]) -> None:
+        """What is waited for, once for each change of it."""
+        if reasons != self._told and reasons:
+            log.info("rollout: waiting: %s", "; ".join(reasons))
+        self._told = reasons
--- /dev/null
+++ b/src/cloverplank/rollout/fence.py
@@ -0,0 +1,78 @@
+"""Keeps a process that can't read what is stored from joining the cluster."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TypeVar
+
+from msgspec import Struct
+
+from cloverplank.basic_types import Stamp
+from cloverplank.state import keys
+from cloverplank.state.client import StateClient
+from cloverplank.wire.codec import BadMessage, decode
+from cloverplank.wire.statesvc import Condition, Row
+
+from .committed import CommittedRollout, why_unreadable
+from .records import FormatRecord, RolloutRecord, initial_record
+
+log = logging.getLogger("cloverplank.rollout")
+T = TypeVar("T")
+
+
+class Admission(Struct, frozen=True):
+    """Whether a process may join, and on condition of what."""
+
+    refusal: str | None
+    conditions: list[Condition]
+
+
+class VersionFence:
+    """Reads the committed version before a join, and watches it afterwards."""
+
+    def __init__(self, client: StateClient, committed: CommittedRollout) -> None:
+        self._client = client
+        self._committed = committed
+        self._refusal: str | None = None
+
+    async def admission(self) -> Admission:
+        """A fresh look at the version. Raises Refused or Unknown without the state service."""
+        rollout, announced = await asyncio.gather(self._client.get(keys.ROLLOUT), self._client.get(keys.FORMAT))
+        conditions = [_condition(keys.ROLLOUT, rollout), _condition(keys.FORMAT, announced)]
+        try:
+            refusal = why_unreadable(_current(rollout, announced))
+        except BadMessage as err:
+            refusal = str(err)
+        return Admission(refusal, conditions)
+
+    def refusal(self) -> str | None:
+        """Why this process may not serve; None where it may, as far as it knows."""
+        return self._refusal
+
+    def look(self) -> str | None:
+        """The same of a process that has joined, by its mirror."""
+        self.refuse(self._committed.why_unreadable())
+        return self._refusal
+
+    def refuse(self, refusal: str | None) -> None:
+        """Notes why this process may not join, told once; None: it may."""
+        if refusal is not None and refusal != self._refusal:
+            log.error("not joining: %s", refusal)
+        self._refusal = refusal
+
+
+def _condition(key: str, row: Row | None) -> Condition:
+    return Condition(key, Stamp(0) if row is None else row.version)
+
+
+def _current(rollout: Row | None, announced: Row | None) -> RolloutRecord:
+    version = 0 if announced is None else _read(announced, FormatRecord).version
+    return initial_record(version) if rollout is None else _read(rollout, RolloutRecord)
+
+
+def _read(row: Row, kind: type[T]) -> T:
+    try:
+        return decode(bytes(row.value), kind)
+    except BadMessage as err:
+        raise BadMessage(f"{row.key} can't be read: {err}") from err
--- /dev/null
+++ b/src/cloverplank/rollout/gates.py
@@ -0,0 +1,42 @@
+"""The registry of features that came with a cluster version, and what each reads and writes."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+
+from cloverplank.jobs.shapes import Shape
+
+
+class Stage(Enum):
+    """How a feature relates to versions that came before it."""
+
+    GATED = "gated"  # writes shapes that older versions can't read, so it waits for the cluster version
+    OWN_KEYS = "own keys"  # writes only under keys that older versions don't read; nothing to wait for
+
+
+class Feature(Struct, frozen=True):
+    """One entry of the registry."""
+
+    name: str
+    version: int  # the cluster version that it came with
+    stage: Stage
+    reads: frozenset[Shape]
+    writes: frozenset[Shape]
+
+
+COMPACT_RECORDS = Feature(
+    "compact-records", 1, Stage.GATED, frozenset({Shape.PLAIN, Shape.COMPACT}), frozenset({Shape.COMPACT})
+)
+JOB_CHAINS = Feature("job-chains", 1, Stage.OWN_KEYS, frozenset({Shape.PLAIN}), frozenset({Shape.PLAIN}))
+FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS)
+
+OLDEST_VERSION = 0  # the lowest cluster version that this program reads
+NEWEST_VERSION = max(feature.version for feature in FEATURES)
+
+
+def gated_shapes(version: int) -> frozenset[Shape]:
+    """Shapes that may be written at this cluster version and not at the one before."""
+    writes = (feature.writes for feature in FEATURES if feature.stage is Stage.GATED and feature.version == version)
+    return frozenset().union(*writes)
--- /dev/null
+++ b/src/cloverplank/rollout/observation.py
@@ -0,0 +1,43 @@
+"""The facts of a rollout, as a leader's mirror of the state service shows them."""
+
+from __future__ import annotations
+
+from cloverplank.basic_types import NodeId, WallMs
+from cloverplank.state import keys
+from cloverplank.state.keys import NodeRecord
+from cloverplank.state.mirror import Mirror
+
+from .commits import StepLimits
+from .committed import CommittedRollout
+from .steps import Controller, Facts
+
+
+def observe(
+    mirror: Mirror,
+    committed: CommittedRollout,
+    configured: frozenset[NodeId],
+    limits: StepLimits,
+    now: WallMs,
+    records_left: int | None,
+) -> Facts:
+    """What the next step is decided on."""
+    nodes = mirror.under(keys.NODES, NodeRecord)
+    controllers: dict[NodeId, Controller] = {}
+    barred = {}
+    for name, (record, stamp) in nodes.items():
+        if record.is_there():
+            controllers[NodeId(name)] = Controller(stamp, record.format, record.lowest, record.goal)
+        else:
+            barred[NodeId(name)] = stamp
+    return Facts(
+        configured=configured,
+        controllers=controllers,
+        unreadable=tuple(sorted(key for key in mirror.unreadable if key.startswith(keys.NODES))),
+        announced=committed.announced(),
+        now=now,
+        records_left=records_left,
+        most_pins=limits.most_pins,
+        most_barred=limits.most_barred,
+        stamp=committed.stamp(),
+        barred=barred,
+    )
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -11,7 +11,10 @@
 from pathlib import Path
 from typing import Any
 
+from cloverplank.rollout.gates import NEWEST_VERSION
 from cloverplank.settings import BadSettings
+from cloverplank.settings import rollout as rollout_settings
+from cloverplank.settings.rollout import RolloutSettings
 
 
 @dataclass(frozen=True)
@@ -96,6 +99,7 @@
 
     values: dict[str, float] = field(default_factory=lambda: {s.name: s.default for s in TABLE})
     zone_weights: dict[str, float] = field(default_factory=dict)
+    rollout: RolloutSettings = field(default_factory=RolloutSettings)
 
     def __getattr__(self, name: str) -> float:
         try:
@@ -115,6 +119,7 @@
         lines.append("# static weight of a zone in the split, 1 where none is given; may be repeated (0 to 1000)")
         for zone, weight in sorted(self.zone_weights.items()):
             lines.append(f'zone_weight {{ zone: "{zone}" weight: {weight:g} }}')
+        lines += self.rollout.text()
         return "\n".join(lines) + "\n"
 
 
@@ -136,12 +141,28 @@
     )
     for number, setting in enumerate(TABLE, start=2):
         operator.field.add(name=setting.name, number=number, type=kinds.TYPE_DOUBLE, label=kinds.LABEL_OPTIONAL)
+    rollout_settings.declare(file, kinds)
+    operator.field.add(
+        name="rollout",
+        number=len(TABLE) + 2,
+        type=kinds.TYPE_MESSAGE,
+        label=kinds.LABEL_OPTIONAL,
+        type_name=".cloverplank.Rollout",
+    )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
     return message_factory.GetMessageClass(pool.FindMessageTypeByName("cloverplank.Operator"))
 
 
+def _says_nothing(text: str) -> bool:
+    """Blank lines and comments alone."""
+    return all(not line.strip() or line.lstrip().startswith("#") for line in text.splitlines())
+
+
 def parse_operator(text: str) -> Operator:
+    """The settings of a file's text. Raises BadSettings."""
+    if _says_nothing(text):
+        return Operator()  # without the time that importing protobuf takes at each start
     from google.protobuf import text_format
 
     message = _message_class()()
@@ -163,7 +184,7 @@
         if entry.zone in weights:
             raise BadSettings(f"zone_weight: {entry.zone} is given twice")
         weights[entry.zone] = entry.weight
-    return Operator(values, weights)
+    return Operator(values, weights, rollout_settings.from_message(message.rollout, NEWEST_VERSION))
 
 
 def read_operator(path: Path | None) -> Operator:
--- a/src/cloverplank/settings/platform.py
+++ b/src/cloverplank/settings/platform.py
@@ -127,6 +127,10 @@
     facts: Facts
     peers: list[Peer] = field(default_factory=list)
 
+    def controllers(self) -> frozenset[str]:
+        """The names of all controllers of the deployment."""
+        return frozenset({self.label, *(peer.label for peer in self.peers)})
+
 
 def parse_addr(text: str, where: str) -> Addr:
     host, colon, port = text.rpartition(":")
--- a/src/cloverplank/state/fresh.py
+++ b/src/cloverplank/state/fresh.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from cloverplank.basic_types import Clock, JobId, Stamp
-from cloverplank.jobs.layout import read_job
+from cloverplank.jobs.layout import decode_stored, record_of
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
 from cloverplank.jobs.waiting import WaitingJob
 from cloverplank.wire.codec import BadMessage, decode
@@ -144,9 +144,9 @@
                     return self._keep_waiting(job, decode(bytes(row.value), WaitingRecord), Stamp(row.version))
             row = await self._client.get(keys.job(job))
             if row is not None:
-                record = read_job(bytes(row.value))
-                self._mirror.put(keys.job(job), record, Stamp(row.version))
-                return record
+                found = decode_stored(bytes(row.value))
+                self._mirror.put(keys.job(job), found, Stamp(row.version))
+                return record_of(found)
             row = await self._client.get(keys.final(job))
             if row is None:
                 return None
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct, field
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
 
 ROOT = "cp/"
 LEADER = "cp/leader"
@@ -14,11 +16,8 @@
 RENTALS = "cp/hire/"
 RETURNS = "cp/ret/"
 WAITING = "cp/wait/"  # jobs that wait for others; versions without job chains don't read this prefix
-FORMAT = "cp/format"
-
-# Version of the stored records that this process can read. It goes into the controller's own record; once all
-# controllers show it, the leader commits it under FORMAT, and layouts that older versions can't read may be written.
-FORMAT_VERSION = 1
+FORMAT = "cp/format"  # the cluster version as announced to programs that don't read ROLLOUT
+ROLLOUT = "cp/rollout"
 
 
 def node(label: str) -> str:
@@ -54,18 +53,21 @@
     return RETURNS + name
 
 
+NO_LEASE = 0  # in the place of a lease: nobody is there, and nobody who does not replace the record can join
+
+
 class NodeRecord(Struct, frozen=True):
     """A live controller. Its key is attached to its lease."""
 
     zone: str
     lease: int
-    format: int = 0  # the FORMAT_VERSION of its process; versions before there was one don't write it
-
-
-class FormatRecord(Struct, frozen=True):
-    """Every controller reads records of this format version, and none comes back that does not."""
+    format: Annotated[int, Meta(ge=0)] = 0  # the newest cluster version that its process reads; old programs omit it
+    lowest: Annotated[int, Meta(ge=0)] | None = None  # the oldest; programs that don't follow rollouts omit it
+    goal: Annotated[int, Meta(ge=0)] | None = None  # the cluster version that its operators want; None: switched off
 
-    version: int
+    def is_there(self) -> bool:
+        """The record is of a process, not one that keeps others out."""
+        return self.lease != NO_LEASE
 
 
 class LeaderRecord(Struct, frozen=True):
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -12,17 +12,18 @@
 
 from cloverplank.basic_types import Clock, JobId, Mono, Stamp
 from cloverplank.jobs.dependencies import Claims, UpstreamState, state_of_phase
-from cloverplank.jobs.layout import CompactRecord, read_job
+from cloverplank.jobs.layout import CompactRecord, decode_stored, record_of
 from cloverplank.jobs.records import FinalRecord, JobRecord, Phase, WaitingRecord
 from cloverplank.jobs.store import JobStore
 from cloverplank.jobs.waiting import WaitingJobs
+from cloverplank.rollout.records import FormatRecord, RolloutRecord
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Change
 
 from . import keys
 from .client import Lost, Refused, StateClient, Unknown
-from .keys import BlockRecord, FormatRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
+from .keys import BlockRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
 
 log = logging.getLogger("cloverplank.state")
 
@@ -35,6 +36,7 @@
     (keys.LEADER, LeaderRecord),
     (keys.TYPES, MachineTypes),
     (keys.FORMAT, FormatRecord),
+    (keys.ROLLOUT, RolloutRecord),
     (keys.NODES, NodeRecord),
     (keys.BLOCKS, BlockRecord),
     (keys.RENTALS, RentalRecord),
@@ -53,6 +55,8 @@
         self.claims = Claims(self.waiting)
         self.values: dict[str, tuple[object, Stamp]] = {}
         self._by_kind: dict[type, dict[str, tuple[object, Stamp]]] = {}  # the same again; rounds ask by kind
+        self.unreadable: dict[str, Stamp] = {}  # keys other than jobs' whose values are no records
+        self.compact_jobs: set[JobId] = set()  # open jobs whose records are stored in the compact shape
         self.gone: dict[str, Stamp] = {}  # stamps of deletions, against late news
         self.finals: OrderedDict[JobId, Phase] = OrderedDict()
         self.revision = 0
@@ -70,6 +74,10 @@
         found = self.values.get(key)
         return Stamp(0) if found is None else found[1]
 
+    def any_stamp(self, key: str) -> Stamp:
+        """The same, also of a key whose value can't be read."""
+        return self.unreadable.get(key) or self.stamp(key)
+
     def under(self, prefix: str, kind: type[T]) -> dict[str, tuple[T, Stamp]]:
         return {
             key[len(prefix) :]: (value, stamp)  # type: ignore[misc]
@@ -94,11 +102,6 @@
             return state_of_phase(view.record.phase)
         return UpstreamState.UNFINISHED if job in self.waiting.jobs else UpstreamState.NOT_IN_MEMORY
 
-    def compact_allowed(self) -> bool:
-        """Every controller reads compact job records."""
-        found = self.value(keys.FORMAT, FormatRecord)
-        return found is not None and found[0].version >= keys.FORMAT_VERSION
-
     def keep_final(self, job: JobId, phase: Phase) -> None:
         self.finals[job] = phase
         self.finals.move_to_end(job)
@@ -121,42 +124,74 @@
             log.error("state service: %s can't be read: %s", key, err)
 
     def _put_job(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
-        record = read_job(value if isinstance(value, JobRecord | CompactRecord) else _stored_bytes(value))
+        known = value if isinstance(value, JobRecord | CompactRecord) else decode_stored(_stored_bytes(value))
+        record = record_of(known)
         if self.gone.get(key, 0) >= stamp:
             return
         job = JobId(key[len(keys.JOBS) :])
+        before = self.store.get(job)
+        if before is None or before.stamp < stamp:
+            self._note_shape(job, known)
         self.store.apply(job, record, stamp)
         if record.phase is not Phase.OPEN:
             self.waiting.upstream_changed(job)
 
+    def _note_shape(self, job: JobId, known: JobRecord | CompactRecord) -> None:
+        if isinstance(known, CompactRecord):
+            self.compact_jobs.add(job)
+        else:
+            self.compact_jobs.discard(job)
+
     def _put_waiting(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
         record = _read(value, WaitingRecord)
         if self.gone.get(key, 0) < stamp:
             self.waiting.apply(JobId(key[len(keys.WAITING) :]), record, stamp)
 
     def _put_other(self, key: str, value: bytes | Struct, stamp: Stamp) -> None:
-        if self.stamp(key) >= stamp or self.gone.get(key, 0) >= stamp:
+        if self.any_stamp(key) >= stamp or self.gone.get(key, 0) >= stamp:
             return
         for prefix, kind in _KINDS:
             if key == prefix or (prefix.endswith("/") and key.startswith(prefix)):
-                self.values[key] = self._by_kind.setdefault(kind, {})[key] = (_read(value, kind), stamp)
-                self.changed(key)
+                self._keep(key, kind, value, stamp)
                 return
 
+    def _keep(self, key: str, kind: type, value: bytes | Struct, stamp: Stamp) -> None:
+        try:
+            record: object = _read(value, kind)
+        except BadMessage:
+            # What it said before holds no more.
+            self._drop(key)
+            self.unreadable[key] = stamp
+            self.changed(key)
+            raise
+        self.unreadable.pop(key, None)
+        self.values[key] = self._by_kind.setdefault(kind, {})[key] = (record, stamp)
+        self.changed(key)
+
+    def _drop(self, key: str) -> None:
+        found = self.values.pop(key, None)
+        if found is not None:
+            del self._by_kind[type(found[0])][key]
+
     def delete(self, key: str, stamp: Stamp) -> None:
         self.gone[key] = max(stamp, self.gone.get(key, Stamp(0)))
         if len(self.gone) > 5000:
             for old in sorted(self.gone, key=lambda k: self.gone[k])[:2500]:
                 del self.gone[old]
         if key.startswith(keys.JOBS):
-            self.store.remove(JobId(key[len(keys.JOBS) :]), stamp)
+            self._forget_job(JobId(key[len(keys.JOBS) :]), stamp)
         elif key.startswith(keys.WAITING):
             self.waiting.remove(JobId(key[len(keys.WAITING) :]), stamp)
-        elif key in self.values and self.values[key][1] < stamp:
-            value, _ = self.values.pop(key)
-            del self._by_kind[type(value)][key]
+        elif 0 < self.any_stamp(key) < stamp:
+            self._drop(key)
+            self.unreadable.pop(key, None)
             self.changed(key)
 
+    def _forget_job(self, job: JobId, stamp: Stamp) -> None:
+        self.store.remove(job, stamp)
+        if self.store.get(job) is None:
+            self.compact_jobs.discard(job)
+
     def _apply(self, event: Change) -> None:
         if event.put is not None:
             self.put(event.put, bytes(event.value), Stamp(event.version))
@@ -179,7 +214,7 @@
                     break
                 after = rows.items[-1].key
         jobs = [*map(keys.job, self.store.jobs), *map(keys.waiting, self.waiting.jobs)]
-        for key in [*self.values, *jobs]:
+        for key in [*self.values, *self.unreadable, *jobs]:
             if key not in seen:
                 self.delete(key, Stamp(first))
         self.revision = first
--- a/src/cloverplank/state/queue.py
+++ b/src/cloverplank/state/queue.py
@@ -10,14 +10,16 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from enum import IntEnum
 
 from msgspec import Struct
 
 from cloverplank.basic_types import Clock, JobId, Mono, Stamp
+from cloverplank.jobs.layout import shape_of
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import FinalRecord, JobRecord
+from cloverplank.jobs.shapes import Shape
 from cloverplank.jobs.store import CachedJob, JobStore, Pending
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Commit, CommitAnswer, Condition, Delete, Put
@@ -35,10 +37,18 @@
     SUBMIT = 2
     PLACE = 3
     DONE = 4
+    MIGRATE = 5  # rewriting of stored records; nobody waits for it
 
 
 # Of the changes that may be made in a burst, what each urgency leaves to more urgent ones.
-LEAVES = {Urgency.LEASE: -5.0, Urgency.CANCEL: -2.0, Urgency.SUBMIT: 0.0, Urgency.PLACE: 0.15, Urgency.DONE: 0.3}
+LEAVES = {
+    Urgency.LEASE: -5.0,
+    Urgency.CANCEL: -2.0,
+    Urgency.SUBMIT: 0.0,
+    Urgency.PLACE: 0.15,
+    Urgency.DONE: 0.3,
+    Urgency.MIGRATE: 0.5,
+}
 BOOKED = 1.0  # changes taken from the budget when a commit is chosen; what more it has, when it is sent
 LOOK_S = 0.02  # between two looks for what has become ready
 IN_FLIGHT = 8
@@ -48,6 +58,7 @@
 PASSED_OVER = -1  # the rank that they are served with from then on
 NEED_S = 2.0
 LARGEST_VALUE = 64 * 1024  # where no other limit is given
+GATE_MOVED_S = 0.1  # that a job's commits pause when the gate of its shape has moved: the watch has to tell of it
 FIRST_HOLD_S, LONGEST_HOLD_S = 0.5, 8.0  # that a job's commits pause after refused ones
 
 
@@ -55,6 +66,10 @@
     """The queue is full; try later."""
 
 
+def _ungated(shape: Shape) -> list[Condition]:
+    return []
+
+
 class _Raw(Struct, eq=False):
     commit: Commit
     urgency: Urgency
@@ -63,12 +78,21 @@
 
 
 class CommitQueue:
-    def __init__(self, client: StateClient, mirror: Mirror, clock: Clock, space: RecordSpace | None = None) -> None:
+    def __init__(
+        self,
+        client: StateClient,
+        mirror: Mirror,
+        clock: Clock,
+        space: RecordSpace | None = None,
+        gate: Callable[[Shape], list[Condition]] = _ungated,
+    ) -> None:
+        """`gate`: what a write of a shape is conditional on beside the record."""
         self._client = client
         self._mirror = mirror
         self._store: JobStore = mirror.store
         self._clock = clock
-        self._space = space or RecordSpace(LARGEST_VALUE, LARGEST_VALUE, mirror.compact_allowed)
+        self._space = space or RecordSpace(LARGEST_VALUE, LARGEST_VALUE, lambda: False)
+        self._gate = gate
         self._dirty: dict[JobId, CachedJob] = {}
         self._raw: list[_Raw] = []
         self._flying = 0
@@ -267,7 +291,9 @@
                 Put(keys.final(view.id), FinalRecord(record.phase, record.spec.tasks)),
             ]
         else:
-            changes = [Put(keys.job(view.id), self._space.stored(record))]
+            stored = self._space.stored(record)
+            changes = [Put(keys.job(view.id), stored)]
+            conditions.update((c.key, Stamp(c.version)) for c in self._gate(shape_of(stored)))
         return Commit([Condition(k, s) for k, s in conditions.items()], changes), used
 
     async def _send_job(self, view: CachedJob) -> None:
@@ -286,6 +312,8 @@
                 log.debug("commit of %s lost: %s", view.id, answer.failed)
                 if keys.job(view.id) in answer.failed or "?" in answer.failed:
                     view.stale = True
+                elif any(key in (keys.ROLLOUT, keys.FORMAT) for key in answer.failed):
+                    view.hold_until = Mono(self._clock.mono() + GATE_MOVED_S)
                 lost = [p for p in used if any(c.key in answer.failed for c in p.conditions)]
                 self._store.unstage(view, lost)
                 for pending in lost:
--- a/src/cloverplank/state/session.py
+++ b/src/cloverplank/state/session.py
@@ -12,6 +12,8 @@
 from enum import Enum
 
 from cloverplank.basic_types import DRIFT, Clock, FencingToken, LeaseId, Mono, NodeId, Stamp, Zone
+from cloverplank.rollout.fence import VersionFence
+from cloverplank.rollout.gates import NEWEST_VERSION, OLDEST_VERSION
 from cloverplank.wire.statesvc import Commit, Condition, Delete, Put
 
 from . import keys
@@ -19,6 +21,7 @@
 from .keys import BlockRecord, LeaderRecord, NodeRecord
 from .mirror import Mirror
 
+NOT_ABLE_S = 1.0  # between two looks at a version that this process can't read
 log = logging.getLogger("cloverplank.session")
 
 
@@ -37,9 +40,14 @@
         client: StateClient,
         mirror: Mirror,
         clock: Clock,
+        fence: VersionFence,
+        goal: int | None,
         lease_s: float,
         hold_on_s: float,
     ) -> None:
+        """`goal`: the cluster version that the operators want; None where rollouts are switched off."""
+        self.fence = fence
+        self._goal = goal
         self.me = me
         self._zone = zone
         self._client = client
@@ -102,32 +110,45 @@
         return None if found is None else NodeId(found[0].node)
 
     def members(self) -> dict[NodeId, NodeRecord]:
-        return {NodeId(n): record for n, (record, _) in self._mirror.under(keys.NODES, NodeRecord).items()}
+        """The controllers that hold a lease."""
+        nodes = self._mirror.under(keys.NODES, NodeRecord)
+        return {NodeId(name): record for name, (record, _) in nodes.items() if record.is_there()}
 
     # -- the lease
 
     async def _join(self) -> None:
-        """A new lease. A lease that a former process of this name left behind is ended at once."""
+        """A new lease, if this program reads the committed version. A lease that a former process of this name left
+        behind is ended at once."""
         key = keys.node(self.me)
-        row = await self._client.get(key)
+        row, admission = await asyncio.gather(self._client.get(key), self.fence.admission())
+        refusal = admission.refusal
         if row is not None:
             self._mirror.put(key, bytes(row.value), Stamp(row.version))
             old = self._mirror.value(key, NodeRecord)
-            if old is not None and old[0].lease != self.lease:
-                log.info("ending lease %d of a former process", old[0].lease)
-                await self._client.end_lease(LeaseId(old[0].lease))
+            if old is not None and old[0].is_there():
+                if old[0].lease != self.lease:
+                    log.info("ending lease %d of a former process", old[0].lease)
+                    await self._client.end_lease(LeaseId(old[0].lease))
+                return
+            if old is None:
+                refusal = f"{key} can't be read"
+        self.fence.refuse(refusal)
+        if refusal is not None:
             return
         sent = self._clock.mono()
         lease = await self._client.new_lease(self.lease_s)
-        record = NodeRecord(self._zone, lease, keys.FORMAT_VERSION)
+        record = NodeRecord(self._zone, lease, NEWEST_VERSION, OLDEST_VERSION, self._goal)
+        # A record that keeps out whoever can't read the version is replaced.
+        conditions = [Condition(key, 0 if row is None else row.version), *admission.conditions]
         try:
-            answer = await self._client.commit(Commit([Condition(key, 0)], [Put(key, record, lease)]))
+            answer = await self._client.commit(Commit(conditions, [Put(key, record, lease)]))
         except Unknown:
             # It may be carried out late and name a lease that nobody renews: others would take the lease that we
             # have by then for ended. Without the lease it can't be.
             await self._client.end_lease(lease)
             raise
         if answer.failed:
+            await self._client.end_lease(lease)
             return
         self.lease = lease
         self.touched_at = sent
@@ -143,13 +164,23 @@
         self._move(Standing.JOINING)
         self.changed()
 
+    async def _retire(self, lease: LeaseId, why: str) -> None:
+        """Ends the own lease: what is stored can't be read any more."""
+        await self._client.end_lease(lease)
+        self._leave(why)
+
     async def run(self) -> None:
+        """Joins, renews the lease, and joins again, for ever."""
         while True:
             pause = self.lease_s / 5
             try:
                 if self.lease is None:
                     pause = 0.1
                     await self._join()
+                    if self.fence.refusal() is not None:
+                        pause = NOT_ABLE_S
+                elif (refusal := self.fence.look()) is not None:
+                    await self._retire(self.lease, refusal)
                 else:
                     sent = self._clock.mono()
                     await self._client.touch(self.lease, timeout=self.lease_s / 4)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,6 +10,7 @@
 from cloverplank.jobs import layout, ranges
 from cloverplank.jobs.record_space import RecordSpace
 from cloverplank.jobs.records import Eviction, FinalRecord, JobRecord, Phase, Placement, Run, WaitingRecord, place
+from cloverplank.rollout.gates import NEWEST_VERSION
 from cloverplank.state import keys, transitions
 from cloverplank.state.keys import RentalRecord, ReturnRecord
 from cloverplank.wire.codec import BadMessage, encode, json_size
@@ -116,7 +117,7 @@
     "returns": ReturnRecord(1_700_000_000_000, {name: "never up" for name in NAMES[:48]}, []),
     "returned": ReturnRecord(1_700_000_000_000, {}, NAMES[:48]),
     "final": FinalRecord(Phase.CANCELLED, 100_000),
-    "node": keys.NodeRecord("z" * 100, 2**40, keys.FORMAT_VERSION),
+    "node": keys.NodeRecord("z" * 100, 2**40, NEWEST_VERSION),
 }
 
 
--- a/tests/world/production.py
+++ b/tests/world/production.py
@@ -12,7 +12,8 @@
 from .link import Link
 
 STATE = "10.2.0.1:2379"
-UNKNOWN = ("cp/wait/", "cp/format")  # keys that production's version neither reads nor writes
+NOBODYS_LEASE = 1
+UNKNOWN = ("cp/wait/", "cp/format", "cp/rollout")  # keys that production's version neither reads nor writes
 TYPES = {"cp/job/": messages.JobRecord, "cp/node/": messages.NodeRecord}
 
 
@@ -52,18 +53,21 @@
                 write["value"] = as_production(write["put"], write["value"])
         return msgspec.msgpack.encode(asked)
 
-    @staticmethod
-    def _answer(body: bytes) -> bytes:
+    def _answer(self, body: bytes) -> bytes:
         found = msgspec.msgpack.decode(body)
+        if str(found.get("path", "")).startswith("cp/node/") and found["value"]["lease"] == 0:
+            # Production's version takes any record under its key for a former process's and ends that one's lease.
+            found["value"]["lease"] = NOBODYS_LEASE
         if "rows" in found:
-            found["rows"] = [r for r in found["rows"] if _readable(r, "path")]
+            found["rows"] = [r for r in found["rows"] if self._readable(r, "path")]
         if "log" in found:
-            found["log"] = [e for e in found["log"] if "delete" in e or _readable(e, "put")]
+            found["log"] = [e for e in found["log"] if "delete" in e or self._readable(e, "put")]
         return msgspec.msgpack.encode(found)
 
-
-def _readable(row: dict, key: str) -> bool:
-    if row[key].startswith(UNKNOWN):
-        return False
-    row["value"] = as_production(row[key], row["value"])
-    return row["value"] is not None
+    def _readable(self, row: dict, key: str) -> bool:
+        if row[key].startswith(UNKNOWN):
+            return False
+        row["value"] = as_production(row[key], row["value"])
+        if row["value"] is None:
+            self.world.unreadable_met.append(row[key])
+        return row["value"] is not None
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -81,9 +81,12 @@
         coming_limits: bool = False,
         old: tuple[str, ...] = (),
         cpu: float = 1.0,
+        operator: Operator | None = None,
     ) -> None:
         """`cpu`: the share of a core that each controller is told it has. `coming_limits`: the settings say that the state service will have lower ones. `old`: controllers that
-        begin as production's version."""
+        begin as production's version. `operator`: the operators' settings of every controller."""
+        self.operator = operator or Operator()
+        self.unreadable_met: list[str] = []  # keys that a controller of production's version could not read
         self.cpu = cpu
         self.coming_limits = coming_limits
         self.old = set(old)
@@ -164,7 +167,7 @@
         drift = 1 + self.random.uniform(0, 0.0005)
         clock = Clock(lambda: self.now() * drift, lambda: 1.7e9 + self.now())
         link = ProductionLink(self, label) if label in self.old else Link(self, label)
-        controller = Controller(platform, Operator(), clock, link, random.Random(self.random.random()))
+        controller = Controller(platform, self.operator, clock, link, random.Random(self.random.random()))
         self.controllers[label] = controller, asyncio.ensure_future(controller.run())
 
     def crash(self, label: str) -> None:
