--- a/src/cloverplank/rollout/gates.py
+++ b/src/cloverplank/rollout/gates.py
@@ -24,13 +24,34 @@
     stage: Stage
     reads: frozenset[Shape]
     writes: frozenset[Shape]
+    schemas: frozenset[str]  # the stored types that it adds, or changes in ways that older versions don't bear
 
 
 COMPACT_RECORDS = Feature(
-    "compact-records", 1, Stage.GATED, frozenset({Shape.PLAIN, Shape.COMPACT}), frozenset({Shape.COMPACT})
+    "compact-records",
+    1,
+    Stage.GATED,
+    reads=frozenset({Shape.PLAIN, Shape.COMPACT}),
+    writes=frozenset({Shape.COMPACT}),
+    schemas=frozenset({"CompactRecord"}),
 )
-JOB_CHAINS = Feature("job-chains", 1, Stage.OWN_KEYS, frozenset({Shape.PLAIN}), frozenset({Shape.PLAIN}))
-FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS)
+JOB_CHAINS = Feature(
+    "job-chains",
+    1,
+    Stage.OWN_KEYS,
+    reads=frozenset({Shape.PLAIN}),
+    writes=frozenset({Shape.PLAIN}),
+    schemas=frozenset({"WaitingRecord"}),
+)
+STAGED_ROLLOUT = Feature(
+    "staged-rollout",
+    1,
+    Stage.OWN_KEYS,
+    reads=frozenset({Shape.PLAIN}),
+    writes=frozenset({Shape.PLAIN}),
+    schemas=frozenset({"FormatRecord", "RolloutRecord"}),
+)
+FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS, STAGED_ROLLOUT)
 
 OLDEST_VERSION = 0  # the lowest cluster version that this program reads
 NEWEST_VERSION = max(feature.version for feature in FEATURES)
