--- a/src/cloverplank/rollout/steps.py
+++ b/src/cloverplank/rollout/steps.py
@@ -219,7 +219,7 @@
         return Waiting(("held at soak",))
     left_ms = current.since + orders.soak_ms - facts.now
     if left_ms > 0:
-        return Waiting((f"the soak has {left_ms / MS_A_SECOND:.0f} s left",))
+        return Waiting((f"the soak of {orders.soak_ms / MS_A_SECOND:g} s is not over",))
     absent = effective_excuses(facts, orders)
     excused = sorted(str(name) for name in absent)
     record = RolloutRecord(current.target, RolloutPhase.ACTIVE, current.target, facts.now, excused=excused)
@@ -277,8 +277,7 @@
 
 
 def _left(facts: Facts) -> str:
-    left = "an unknown number of" if facts.records_left is None else str(facts.records_left)
-    return f"{left} records have to be rewritten"
+    return f"records to rewrite: {'not counted yet' if facts.records_left is None else facts.records_left}"
 
 
 _BY_PHASE: dict[RolloutPhase, Callable[[RolloutRecord, Facts, Orders], Outcome]] = {
--- /dev/null
+++ b/tests/loopback/cluster.py
@@ -0,0 +1,264 @@
+"""The world of the simulated tests with its parts on real sockets: controllers are processes that this harness starts
+and ends by their ids, and time is the machine's."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+
+import msgspec
+
+from cloverplank.net.client import Client
+from cloverplank.net.messages import Request, Response
+from cloverplank.net.server import Server
+
+from ..world.world import PEER, SETTINGS, TEAM, World
+
+FRONT, PEERS, STATE, CLOUD, WORKER = 8080, 8081, 2379, 8443, 9000
+STATE_HOST, CLOUD_HOST = 100, 200  # the last number of the stand-ins' addresses; the state service has one a controller
+FIRST_MACHINE_NET, MACHINES_A_NET = 128, 250
+CONNECTIONS = 2000
+SAMPLE_S = 0.1
+CLOSING_S = 0.5
+_subnets = count()
+
+
+@dataclass
+class Process:
+    label: str
+    program: str
+    popen: subprocess.Popen
+
+    def kill(self) -> None:
+        self.popen.kill()
+        self.popen.wait()
+
+
+@dataclass
+class Kill:
+    """What the harness did to a controller, for the write-up."""
+
+    at_s: float
+    label: str
+    program: str
+    phase: str
+
+
+@dataclass
+class ReplicaGap:
+    """Replica time of one service since all its tasks ran for the first time."""
+
+    full_at: float | None = None
+    short_since: float | None = None
+    longest_s: float = 0.0
+    missed_s: float = 0.0
+
+
+@dataclass
+class Measured:
+    kills: list[Kill] = field(default_factory=list)
+    gaps: dict[str, ReplicaGap] = field(default_factory=dict)
+
+
+class LoopbackCluster(World):
+    """`programs`: sources by name; every controller begins with the one named `first`."""
+
+    report_s, lease_s, cancel_s, list_lag_s = 1.0, 5.0, 20.0, 1.0
+
+    def __init__(
+        self, seed: int, folder: Path, programs: dict[str, Path], first: str, operator: str = "", controllers: int = 3
+    ) -> None:
+        self.folder = folder
+        self.programs = programs
+        self.program = dict.fromkeys([f"c-{n}" for n in range(controllers)], first)
+        self.operator_text = operator
+        self.net = f"127.{1 + os.getpid() % 250}.{next(_subnets) % 100}"
+        self.processes: dict[str, Process] = {}
+        self.stopped: set[str] = set()
+        self.measured = Measured()
+        self.client = Client(CONNECTIONS)
+        self.servers: list[asyncio.Server] = []
+        self.refused: set[str] = set()  # controllers that the state service alone refuses
+        super().__init__(seed, capacity=40, scale=8.0, controllers=controllers)
+        self.began = self.now()
+
+    # -- addresses
+
+    def front(self, label: str) -> str:
+        return f"{self.net}.{1 + self.labels.index(label)}:{FRONT}"
+
+    def state_address(self, label: str) -> str:
+        return f"{self.net}.{STATE_HOST + self.labels.index(label)}:{STATE}"
+
+    def machine_host(self, number: int) -> str:
+        net = self.net.rsplit(".", 1)[0]
+        return f"{net}.{FIRST_MACHINE_NET + number // MACHINES_A_NET}.{1 + number % MACHINES_A_NET}"
+
+    # -- stand-ins
+
+    async def listen(self) -> None:
+        """State service, one address a controller, and cloud."""
+        for label in self.labels:
+            await self._serve(self.state_address(label), self._state_handler(label))
+        await self._serve(f"{self.net}.{CLOUD_HOST}:{CLOUD}", self._cloud)
+        self.spawn(self._watch_replicas())
+
+    async def _serve(self, address: str, handler) -> asyncio.Server:  # noqa: ANN001
+        host, _, port = address.partition(":")
+        server = await Server(address, handler, CONNECTIONS).start(host, int(port))
+        self.servers.append(server)
+        return server
+
+    def _state_handler(self, label: str):  # noqa: ANN202
+        async def handle(request: Request) -> Response:
+            self.state.shut_out = self.refused
+            path = request.path + ("?" + request.query if request.query else "")
+            status, value = await self.state.handle(label, request.method, path, request.body)
+            return Response(status, msgspec.msgpack.encode(value))
+
+        return handle
+
+    async def _cloud(self, request: Request) -> Response:
+        path = request.path + ("?" + request.query if request.query else "")
+        status, value = await self.cloud.handle("", request.method, path, request.body)
+        return Response(status, msgspec.msgpack.encode(value))
+
+    def boot(self, type_name: str, zone: str, spot: bool) -> str:
+        name = super().boot(type_name, zone, spot)
+        machine = self.machines[name]
+        machine.addr = f"{self.machine_host(self.cloud.number)}:{WORKER}"
+        self.spawn(self._serve_machine(machine))
+        return name
+
+    async def _serve_machine(self, machine) -> None:  # noqa: ANN001
+        async def handle(request: Request) -> Response:
+            status, value = await machine.orders(request.body) if request.method == "POST" else (200, machine.report())
+            return Response(status, msgspec.msgpack.encode(value))
+
+        server = await self._serve(machine.addr, handle)
+        while machine.alive:
+            await asyncio.sleep(SAMPLE_S)
+        server.close()
+
+    async def send(self, src, addr, method, path, body=None, timeout=2.0) -> Response:  # noqa: ANN001
+        """Requests of users and workers to a controller's front."""
+        label = addr.removeprefix("front:")
+        response = await self.client.request(self.front(label), method, path, body, timeout)
+        if path == "/v1/report" and response.status == 200:
+            self.rules.ordered(label, msgspec.msgpack.decode(response.body)["orders"])
+        return response
+
+    # -- controllers
+
+    def start(self, label: str) -> None:
+        """A process of the controller's program, with settings and log files of its own."""
+        if label in self.processes:
+            return
+        program = self.programs[self.program[label]]
+        config, operator = self.folder / f"{label}.toml", self.folder / f"{label}.txtpb"
+        config.write_text(self._settings(label))
+        operator.write_text(self.operator_text)
+        with (self.folder / f"{label}.log").open("a") as log:
+            popen = subprocess.Popen(
+                [sys.executable, "run.py", "serve", "--config", str(config), "--operator", str(operator)],
+                cwd=program,
+                env=os.environ | {"LOG_LEVEL": "info", "PYTHONDONTWRITEBYTECODE": "1"},
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL,
+                stderr=log,
+            )
+        self.processes[label] = Process(label, self.program[label], popen)
+
+    def _settings(self, label: str) -> str:
+        peers = "".join(
+            PEER.format(label=other, zone=self.home[other], number=n + 1)
+            for n, other in enumerate(self.labels)
+            if other != label
+        )
+        teams = "".join(TEAM.format(name=n, cpus=m / 2, most=m) for n, m in self.limits.items())
+        zones = "[" + ", ".join(f'"{z}"' for z in self.zones) + "]"
+        text = SETTINGS.format(
+            label=label, zone=self.home[label], peers=peers, zones=zones, teams=teams, coming="", machine=""
+        )
+        number = 1 + self.labels.index(label)
+        return (
+            text.replace("10.0.0.1:8080", f"{self.net}.{number}:{FRONT}")
+            .replace('peer_listen = "10.0.0.1:8081"', f'peer_listen = "{self.net}.{number}:{PEERS}"')
+            .replace("10.0.0.", f"{self.net}.")
+            .replace("10.2.0.2:8443", f"{self.net}.{CLOUD_HOST}:{CLOUD}")
+            .replace("10.2.0.1:2379", self.state_address(label))
+            .replace("report_s = 2.0", f"report_s = {self.report_s}")
+            .replace("lease_s = 8.0", f"lease_s = {self.lease_s}")
+            .replace("cancel_s = 30.0", f"cancel_s = {self.cancel_s}")
+            .replace("value_kb = 8.0", "value_kb = 2.0")
+            .replace("list_lag_s = 3.0", f"list_lag_s = {self.list_lag_s}")
+        )
+
+    def crash(self, label: str) -> None:
+        process = self.processes.pop(label, None)
+        if process is not None:
+            self.measured.kills.append(Kill(self.now() - self.began, label, process.program, self.phase()))
+            process.kill()
+
+    async def run_program(self, label: str, program: str, after_s: float) -> None:
+        """Ends a controller's process and starts it again, perhaps as another version."""
+        self.crash(label)
+        self.program[label] = program
+        await asyncio.sleep(after_s)
+        self.start(label)
+
+    def pause(self, label: str) -> None:
+        self.processes[label].popen.send_signal(signal.SIGSTOP)
+
+    def resume(self, label: str) -> None:
+        if label in self.processes:
+            self.processes[label].popen.send_signal(signal.SIGCONT)
+
+    def ended_by_themselves(self) -> list[str]:
+        return [label for label, process in self.processes.items() if process.popen.poll() is not None]
+
+    async def close(self) -> None:
+        """Ends every process, by its id, and all stand-ins."""
+        for process in self.processes.values():
+            process.kill()
+        await asyncio.sleep(CLOSING_S)  # until the stand-ins have seen that nobody asks any more
+        for server in self.servers:
+            server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    # -- what is looked at
+
+    def phase(self) -> str:
+        found = self.state.items.get("cp/rollout")
+        return "none" if found is None else found[0]["phase"]
+
+    def version(self) -> int:
+        found = self.state.items.get("cp/rollout")
+        return 0 if found is None else found[0]["version"]
+
+    async def _watch_replicas(self) -> None:
+        while True:
+            for job, spec in list(self.jobs.items()):
+                if spec["shape"] == "service" and job in self.rules.accepted and job not in self.rules.cancel_asked:
+                    self._sample(job, spec)
+            await asyncio.sleep(SAMPLE_S)
+
+    def _sample(self, job: str, spec: dict) -> None:
+        gap = self.measured.gaps.setdefault(job, ReplicaGap())
+        running = sum(bool(self.rules.where.get(f"{job}/{n}")) for n in range(spec["pieces"]))
+        now = self.now()
+        if running == spec["pieces"]:
+            gap.full_at = gap.full_at or now
+            gap.short_since = None
+        elif gap.full_at is not None:
+            gap.short_since = gap.short_since or now
+            gap.longest_s = max(gap.longest_s, now - gap.short_since)
+            gap.missed_s += SAMPLE_S * (spec["pieces"] - running)
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -82,6 +82,7 @@
         old: tuple[str, ...] = (),
         cpu: float = 1.0,
         operator: Operator | None = None,
+        controllers: int = 3,
     ) -> None:
         """`cpu`: the share of a core that each controller is told it has. `coming_limits`: the settings say that the state service will have lower ones. `old`: controllers that
         begin as production's version. `operator`: the operators' settings of every controller."""
@@ -92,7 +93,7 @@
         self.old = set(old)
         self.random = random.Random(seed)
         self.zones = [f"zone-{n}" for n in range(zones)]
-        self.labels = ["c-0", "c-1", "c-2"]
+        self.labels = [f"c-{n}" for n in range(controllers)]
         self.home = {label: self.zones[n % zones] for n, label in enumerate(self.labels)}
         self.noise = noise
         self.capacity = capacity
