Holder: task ends and orders to workers are modules of their own

Need: holder.py had 558 lines and four concerns. Change: worker_orders (what a worker should do, and telling it), task_outcomes (ends, failures), block_types; holder 322 lines; presence keeps its own questions. Behaviour unchanged; constants named. Tests patch the same functions under their new names.

--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -11,9 +11,10 @@
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.api.waiting_jobs import WaitingJobAnswers
 from cloverplank.basic_types import Clock, FencingToken, JobId, Mono, NodeId, Zone
+from cloverplank.fleet.block_types import Limits
 from cloverplank.fleet.cloud import Cloud, CloudDown
 from cloverplank.fleet.dependency_sweep import DependencySweep
-from cloverplank.fleet.holder import Block, Limits
+from cloverplank.fleet.holder import Block
 from cloverplank.fleet.leader import Leader
 from cloverplank.fleet.own_blocks import OwnBlocks
 from cloverplank.fleet.peer_hints import PeerHints
@@ -242,7 +243,7 @@
         if view is not None:
             self.headroom.saw(view.record)
             for block in self.blocks.values():
-                block.job_changed(view)
+                block.orders.job_changed(view)
         self.request_round()
 
     def _key_changed(self, key: str) -> None:
--- /dev/null
+++ b/src/cloverplank/fleet/block_types.py
@@ -0,0 +1,43 @@
+"""Small types that a block and its parts share."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from cloverplank.basic_types import MachineId, Mono, TaskRef
+from cloverplank.jobs.ranges import numbers
+from cloverplank.jobs.record_space import RecordSpace
+from cloverplank.jobs.records import JobRecord
+
+
+class Limits(Struct, frozen=True):
+    """Times and amounts that a block keeps to, from the settings."""
+
+    report_s: float
+    lease_s: float
+    hold_on_s: float
+    taint_after_s: float
+    quiet_after_s: float
+    space: RecordSpace
+    write_rps: float
+    eviction_limit_ms: int
+    faulty_errors: int
+    release_after_s: float
+
+
+class Stop(Struct, frozen=True):
+    """A task that is to be stopped, and why."""
+
+    machine: MachineId
+    grace_s: float
+    why: str
+    at: Mono
+
+
+def placed_refs(record: JobRecord, machine: MachineId) -> list[TaskRef]:
+    """The tasks that a record has on the machine."""
+    return [
+        TaskRef(record.id, index, run.attempt)  # type: ignore[arg-type]
+        for run in record.runs_on.get(machine, ())
+        for index in numbers(run.tasks)
+    ]
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -2,69 +2,38 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Callable
 
-from msgspec import Struct
-
-from cloverplank.basic_types import Clock, FencingToken, JobId, MachineId, Mono, TaskRef, Zone
+from cloverplank.basic_types import Clock, FencingToken, MachineId, Mono, TaskRef, Zone
 from cloverplank.jobs import records
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import TINY, Rooms, Turn
-from cloverplank.jobs.ranges import numbers
-from cloverplank.jobs.record_space import RecordSpace
-from cloverplank.jobs.records import Ended, JobRecord, Phase
 from cloverplank.jobs.store import CachedJob, JobStore, Pending
-from cloverplank.load import LoadMeter, NoMeter, Part
-from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
+from cloverplank.load import LoadMeter, NoMeter
+from cloverplank.net.messages import Http
 from cloverplank.state import keys
 from cloverplank.state.mirror import Mirror
 from cloverplank.state.queue import CommitQueue, Urgency
 from cloverplank.wire.cloud import MachineType
-from cloverplank.wire.codec import BadMessage, decode, encode
 from cloverplank.wire.statesvc import Condition
-from cloverplank.wire.workers import ORDERS_PATH, DirectOrders, Order, Report, ReportAnswer
+from cloverplank.wire.workers import Order, Report, ReportAnswer
 
+from .block_types import Limits, Stop, placed_refs
 from .errors import Deposed, Unanswered
 from .machines import Health, Machine
 from .packing import Packing
 from .placer import Placer
 from .preempting import Turnover
-from .presence import PROBE_S, UNSHOWN_MOST, Presence
+from .presence import UNSHOWN_MOST, Presence
 from .returning import Returning
 from .rooming import Rooming
+from .task_outcomes import TaskOutcomes
+from .worker_orders import MAX_ORDERS, REAPS, WorkerOrders, started_by
 
 log = logging.getLogger("cloverplank.holder")
 
-MAX_ORDERS = 250  # keeps an answer well under 64 KiB
 MAX_MACHINES = 20_000  # in one zone: only a bound on memory
-MAX_FAILING_JOBS = 2_000  # whose failures are remembered; the oldest are forgotten first
-REAPS = 8  # ended tasks that wait on a machine for other orders to go with: each change there is one more report
-# Completions of one job are gathered for this long, or for longer where so many arrays run that their
-# commits would take more than a part of the changes a second. What they free is free at once.
-MERGE_S, LONGEST_MERGE_S, DONE_PART = 0.25, 2.5, 0.2
-DIRECT_S = 2.0
-
-
-class Limits(Struct, frozen=True):
-    report_s: float
-    lease_s: float
-    hold_on_s: float
-    taint_after_s: float
-    quiet_after_s: float
-    space: RecordSpace
-    write_rps: float
-    eviction_limit_ms: int
-    faulty_errors: int
-    release_after_s: float
-
-
-class Stop(Struct, frozen=True):
-    machine: MachineId
-    grace_s: float
-    why: str
-    at: Mono
 
 
 class Block:
@@ -93,13 +62,11 @@
         self.store = store
         self._mirror = mirror
         self._queue = queue
-        self._http = http
         self.limits = limits
         self.types = types
         self.returning = returning
         self.may_start = may_start
         self.request_round = request_round
-        self._meter = meter or NoMeter()
         self.since = clock.mono()
         # What a former holder may have answered until its bound, and then the lease of the worker.
         self.unfenced_gone_at = Mono(self.since + limits.hold_on_s + limits.lease_s * 1.002 + 1.0)
@@ -113,19 +80,22 @@
         self.untrusted_workers: set[str] = set()  # workers that showed a token that nobody was granted
         self.former_ended = False
         self._lost_some = False
-        self.errors: dict[JobId, dict[str, Mono]] = {}  # job -> machines it failed on
-        self.back_off: dict[JobId, Mono] = {}
         self._presence = Presence(self)
         self._placer = Placer(self)
         self._packing = Packing(self)
         self._rooming = Rooming(store)
         self.turnover = Turnover(clock)
-        self.spawned: set[asyncio.Task] = set()
+        self.orders = WorkerOrders(self, http, meter or NoMeter())
+        self.outcomes = TaskOutcomes(self)
 
     @property
     def conditions(self) -> list[Condition]:
         return [Condition(keys.block(self.zone), self.token)]
 
+    def arrays(self) -> float:
+        """Arrays that run in the block, as of the last round."""
+        return self._placer.arrays
+
     # -- machines
 
     def machine(self, name: str) -> Machine:
@@ -155,7 +125,7 @@
         if report.token > self.token:
             if report.machine in self.untrusted_workers:
                 raise Unanswered("a token that nobody was granted")
-            self._depose(report)
+            self.depose(report)
         if report.machine not in self.machines and len(self.machines) >= MAX_MACHINES:
             raise Unanswered("too many machines")
         machine = self.machine(report.machine)
@@ -169,11 +139,11 @@
         machine.reported_at = now
         machine.addr, machine.type, machine.spot = report.addr or machine.addr, report.type, report.spot
         orders: list[Order] = []
-        if self._learn(machine, report, in_answer=True):
-            orders, reaps = self._orders(machine)
+        if self.learn(machine, report, in_answer=True):
+            orders, reaps = self.orders.due(machine)
             if orders or len(reaps) >= REAPS:
                 orders = (reaps + orders)[:MAX_ORDERS]
-            machine.in_answer.update(self._refs(orders))
+            machine.in_answer.update(started_by(orders))
             if not orders and not machine.unresolved and self.may_start():
                 machine.settled = self.store.change_count(machine.id)
         machine.unshown = 0 if report.token == self.token else machine.unshown + 1
@@ -187,7 +157,7 @@
         machine.answered_at = self.clock.mono()
         return ReportAnswer(self.token, orders)
 
-    def _depose(self, report: Report) -> None:
+    def depose(self, report: Report) -> None:
         if not self.deposed:
             log.info(
                 "block %s: worker %s has token %d above ours, %d: deposed",
@@ -208,16 +178,7 @@
         if self.deposed_by is not None and len(self.untrusted_workers) < MAX_MACHINES:
             self.untrusted_workers.add(self.deposed_by)
 
-    @staticmethod
-    def _refs(orders: list[Order]) -> list[TaskRef]:
-        refs = []
-        for order in orders:
-            if order.op == "start":
-                job, _, index = order.task.rpartition("/")
-                refs.append(TaskRef(JobId(job), int(index), order.attempt))  # type: ignore[arg-type]
-        return refs
-
-    def _learn(self, machine: Machine, report: Report, in_answer: bool) -> bool:
+    def learn(self, machine: Machine, report: Report, in_answer: bool) -> bool:
         """Takes a report in. False: it is old, or from before the worker knew our token."""
         now = self.clock.mono()
         if not machine.newer(report):
@@ -249,206 +210,9 @@
             machine.move(Health.UNCONFIRMED, "a new session")
         if machine.health is Health.UNCONFIRMED:
             self._presence.probe(machine)
-        self._outcomes(machine)
+        self.outcomes.commit_ends(machine)
         return True
 
-    def _outcomes(self, machine: Machine) -> None:
-        """Commits what has ended, before it is reaped."""
-        ended: dict[JobId, list[Ended]] = {}
-        for ref, task in machine.tasks.items():
-            view = self.store.get(ref.job)
-            if view is None:
-                continue
-            run = view.staged.run_of(ref, machine.id)
-            if run is None:
-                continue
-            if task.state == "running" and ref not in machine.seen_running:
-                machine.seen_running.add(ref)
-                log.debug("running %s on %s", ref.name, machine.id)
-                kind = self.types().get(machine.type)
-                spec = view.record.spec
-                machine.remember_image(spec.image, spec.image_gb, kind.cache_gb if kind is not None else 0.0)
-            if task.state != "ended":
-                continue
-            done = task.why == "done"
-            if not view.record.spec.service:
-                self.turnover.freed(view.record.spec.cpus)
-            if task.why == "error":
-                self._error(machine, ref.job)
-            ended.setdefault(ref.job, []).append(Ended(ref.index, ref.attempt, machine.id, done))
-            self.stops.pop(ref, None)
-            log.debug("task %s try %d on %s ended: %s", ref.name, ref.attempt, machine.id, task.why)
-        # Placed here, not wanted any more, and not there: gone without a word.
-        for view in self.store.on(machine.id):
-            if view.staged.phase is Phase.OPEN:
-                continue
-            for ref in self.placed_refs(view.staged, machine.id):
-                if ref not in machine.tasks and not machine.may_start_late(ref):
-                    ended.setdefault(view.id, []).append(Ended(ref.index, ref.attempt, machine.id, False))
-        for job, tasks in ended.items():
-            view = self.store.jobs[job]
-            open_tasks = view.staged.missing_count() + view.staged.placed()
-            last = sum(1 for t in tasks if t.done) >= open_tasks
-            soon = last or any(not t.done for t in tasks)
-            delay = 0.0 if soon else self._merge_s()
-            self.change(view, records.end(tasks), Urgency.PLACE if soon else Urgency.DONE, delay)
-        if ended:
-            self.request_round()
-
-    def _merge_s(self) -> float:
-        return min(LONGEST_MERGE_S, max(MERGE_S, self._placer.arrays / (DONE_PART * self.limits.write_rps)))
-
-    def _error(self, machine: Machine, job: JobId) -> None:
-        """Judges both: a machine on which several jobs fail, a job that fails on several machines."""
-        now = self.clock.mono()
-        failed_on = self.errors.setdefault(job, {})
-        failed_on[machine.id] = now
-        if len(self.errors) > MAX_FAILING_JOBS:
-            oldest = next(iter(self.errors))
-            del self.errors[oldest]
-            self.back_off.pop(oldest, None)
-        tries = len(failed_on)
-        self.back_off[job] = Mono(now + min(30.0, 0.5 * 2 ** min(tries, 8)))
-        machine.failed_jobs.add(job)
-        log.info("job %s failed on machine %s (%d machines so far)", job, machine.id, tries)
-
-    def faulty(self, machine: Machine) -> bool:
-        """Errors of jobs that don't fail elsewhere, too."""
-        if not machine.failed_jobs:
-            return False
-        blame = sum(1 for job in machine.failed_jobs if len(self.errors.get(JobId(job), ())) < 3)
-        return blame >= self.limits.faulty_errors
-
-    @staticmethod
-    def placed_refs(record: JobRecord, machine: MachineId) -> list[TaskRef]:
-        return [
-            TaskRef(record.id, index, run.attempt)  # type: ignore[arg-type]
-            for run in record.runs_on.get(machine, ())
-            for index in numbers(run.tasks)
-        ]
-
-    # -- orders
-
-    def _orders(self, machine: Machine) -> tuple[list[Order], list[Order]]:
-        """What the worker should do next, from the committed records and its newest report; and what it may
-        forget, which is in no hurry."""
-        orders: list[Order] = []
-        reaps: list[Order] = []
-        for ref, task in machine.tasks.items():
-            view = self.store.get(ref.job)
-            wanted = view is not None and view.record.run_of(ref, machine.id) is not None
-            if task.state == "ended":
-                # Not while a start may still come: it would be started again.
-                if not wanted and not machine.may_start_late(ref):
-                    reaps.append(Order("reap", ref.name, ref.attempt))
-            elif not wanted or (view is not None and not self.store.wanted(view)):
-                orders.append(Order("stop", ref.name, ref.attempt, 0.0))
-            elif ref in self.stops and task.state != "saving":
-                orders.append(Order("stop", ref.name, ref.attempt, self.stops[ref].grace_s))
-        if machine.health is Health.UP and self.may_start():
-            for view in self.store.on(machine.id):
-                if not self.store.wanted(view) or view.staged.phase is not Phase.OPEN:
-                    continue
-                for ref in self.placed_refs(view.record, machine.id):
-                    # Both: what is staged to leave the machine must not be started there again.
-                    if ref not in machine.tasks and view.staged.run_of(ref, machine.id) is not None:
-                        orders.append(Order("start", ref.name, ref.attempt))
-                        if ref in self.stops:
-                            orders.append(Order("stop", ref.name, ref.attempt, 0.0))
-        return orders[:MAX_ORDERS], reaps
-
-    def job_changed(self, view: CachedJob | None) -> None:
-        """A record changed: machines that have something to do are told at once."""
-        if view is None:
-            return
-        for run in view.record.runs:
-            machine = self.machines.get(MachineId(run.machine))
-            if machine is not None and machine.health is Health.UP:
-                cancelled = not self.store.wanted(view)
-                for index in numbers(run.tasks):
-                    ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
-                    if cancelled != (ref not in machine.tasks):
-                        self.push(machine)
-                        break
-
-    def push(self, machine: Machine) -> None:
-        """Sends orders straight to the worker; one such request at a time for each machine."""
-        if machine.pushing:
-            machine.push_again = True
-            return
-        if not machine.addr or self.clock.mono() - machine.push_failed_at < 2.0:
-            return
-        machine.pushing = True
-        task = asyncio.ensure_future(self._meter.metered(Part.ORDERS, self._push(machine)))
-        self.spawned.add(task)
-        task.add_done_callback(self.spawned.discard)
-
-    async def _push(self, machine: Machine) -> None:
-        try:
-            await asyncio.sleep(0)  # what changes in the same moment goes in one request
-            again = True
-            while again and not self.deposed and machine.session > 0:
-                machine.push_again = False
-                orders, reaps = self._orders(machine)
-                if not orders:
-                    return
-                await self.send(machine, (reaps + orders)[:MAX_ORDERS])
-                again = machine.push_again
-        except Deposed:
-            pass
-        finally:
-            machine.pushing = False
-
-    async def send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool | None:
-        """True: carried out. False: refused, or no answer. None: nothing can be said of the machine."""
-        started = set(self._refs(orders))
-        machine.in_orders |= started
-        session = machine.session
-        body = encode(DirectOrders(self.token, session, orders))
-        try:
-            response = await self._http.request(machine.addr, "POST", ORDERS_PATH, body, timeout)
-            if response.status not in (200, 409):
-                raise NoAnswer(str(response.status))
-            report = decode(response.body, Report)
-        except NotSent as err:
-            machine.push_failed_at = self.clock.mono()
-            machine.in_orders -= started
-            log.debug("orders to %s not sent: %s", machine.id, err)
-            return None if isinstance(err, NoRoom) else False
-        except (NoAnswer, BadMessage) as err:
-            # They may be executed at any later time while session and token stand.
-            now = self.clock.mono()
-            machine.push_failed_at = now
-            machine.in_orders -= started
-            if machine.session == session:
-                machine.unresolved.update({ref: (session, self.token, now) for ref in started})
-            log.debug("orders to %s: no answer: %s", machine.id, err)
-            return False
-        machine.in_orders -= started
-        if report.token > self.token and report.machine not in self.untrusted_workers:
-            self._depose(report)
-        if report.machine == machine.id:
-            self._learn(machine, report, in_answer=False)
-        return response.status == 200
-
-    async def fence(self, machine: Machine) -> None:
-        """Shows the worker our token, so that no former holder's answers or orders count any more."""
-        if machine.pushing or not machine.addr:
-            return
-        machine.pushing = True
-        try:
-            session = machine.session
-            await self.send(machine, [], PROBE_S)
-            if not machine.fenced and machine.session != session:
-                # Refused for its session, which we had to guess: a worker takes no token from such orders.
-                await self.send(machine, [], PROBE_S)
-        except Deposed:
-            pass
-        finally:
-            machine.pushing = False
-        if machine.fenced:
-            self.push(machine)
-
     # -- the round: health, stops, placement
 
     def change(
@@ -479,7 +243,7 @@
             can_save = spec.checkpoint_s > 0
             lead = spec.save_s + 1.0 + self.limits.report_s if can_save else self.limits.report_s * 0.6
             if faulty or left <= lead:
-                for ref in self.placed_refs(view.record, machine.id):
+                for ref in placed_refs(view.record, machine.id):
                     grace = max(spec.save_s, left - 0.5) if can_save else 0.0
                     self.stop(ref, machine, grace, "drain" if faulty else "notice")
 
@@ -489,7 +253,7 @@
         self.stops[ref] = Stop(machine.id, grace_s, why, self.clock.mono())
         machine.settled = None
         log.info("stop: task %s try %d on %s: %s", ref.name, ref.attempt, machine.id, why)
-        self.push(machine)
+        self.orders.push(machine)
 
     def rooms(self, least_cpus: float = 0.0) -> Rooms:
         """What is free on machines that may take new tasks."""
@@ -501,7 +265,7 @@
                 continue
             if self.store.load(machine.id).cpus + least_cpus > kind.cpus + TINY:
                 continue  # full for this round: under a backlog most are
-            if machine.id in self.returning or self.faulty(machine) or machine.id in self._packing.emptying:
+            if machine.id in self.returning or self.outcomes.faulty(machine) or machine.id in self._packing.emptying:
                 continue
             result.append(self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images))
         return Rooms(result, least_cpus)
@@ -554,5 +318,6 @@
         self.bump_wanted = False
 
     def close(self) -> None:
-        for task in self.spawned:
-            task.cancel()
+        """Nothing more is sent to workers."""
+        self.orders.close()
+        self._presence.close()
--- a/src/cloverplank/fleet/own_blocks.py
+++ b/src/cloverplank/fleet/own_blocks.py
@@ -16,7 +16,8 @@
 from cloverplank.state.session import Session, Standing
 from cloverplank.wire.statesvc import Commit, Condition, Put
 
-from .holder import Block, Limits
+from .block_types import Limits
+from .holder import Block
 from .machines import Health, Machine
 from .roster import Roster
 
@@ -120,7 +121,7 @@
         async def one(machine: Machine) -> None:
             async with gate:
                 if not machine.fenced and not block.deposed:
-                    await block.fence(machine)
+                    await block.orders.fence(machine)
 
         # Those heard last first: machines that are gone take a time limit each.
         heard = {known.id: known.heard_at or 0.0 for known in self._roster.known.values()}
--- a/src/cloverplank/fleet/packing.py
+++ b/src/cloverplank/fleet/packing.py
@@ -13,6 +13,7 @@
 from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob
 
+from .block_types import placed_refs
 from .machines import Health, Machine
 
 if TYPE_CHECKING:
@@ -70,7 +71,7 @@
             if moved is None or not self._fits_elsewhere(moved, machine, targets):
                 del self.emptying[name]
                 continue
-            block.stop(next(iter(block.placed_refs(moved[0].record, name))), machine, 0.0, "packing")
+            block.stop(next(iter(placed_refs(moved[0].record, name))), machine, 0.0, "packing")
 
     def _settled(self, view: CachedJob) -> bool:
         """All replicas of a job run: one more can be moved without anybody missing two."""
--- a/src/cloverplank/fleet/peer_hints.py
+++ b/src/cloverplank/fleet/peer_hints.py
@@ -246,7 +246,7 @@
     health = machine.health.value
     if machine.lost_since is not None:
         health = "lost"
-    elif block.faulty(machine):
+    elif block.outcomes.faulty(machine):
         health = "faulty"
     return MachineHint(
         machine.id,
--- a/src/cloverplank/fleet/placer.py
+++ b/src/cloverplank/fleet/placer.py
@@ -76,7 +76,7 @@
         record = turn.record
         spec = record.spec
         most = min(record.allot.get(block.zone, 0) - record.placed(block.zone), record.missing_count())
-        if most <= 0 or block.back_off.get(record.id, 0.0) > now or view.planned("place"):
+        if most <= 0 or block.outcomes.back_off.get(record.id, 0.0) > now or view.planned("place"):
             return 0
         if spec.gang and (record.runs or most < record.missing_count()):
             self._gather(view)  # what is left of it stops, then it starts again whole
@@ -87,7 +87,7 @@
         usable, others = (rooms, spare) if ready else (spare, rooms)
         if spec.gang and usable.free(spec, block.zone, most, turn.pressing) < most:
             return most
-        bad = block.errors.get(record.id, {})
+        bad = block.outcomes.errors.get(record.id, {})
         allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
         placements = usable.fill(record, block.zone, most if spec.gang else min(most, 400), turn.pressing, allowed)
         if len(placements) > most_runs and not spec.gang:
--- a/src/cloverplank/fleet/presence.py
+++ b/src/cloverplank/fleet/presence.py
@@ -8,6 +8,7 @@
 
 from cloverplank.basic_types import Mono
 
+from .block_types import placed_refs
 from .errors import Deposed
 from .machines import Health, Machine
 
@@ -36,6 +37,7 @@
     def __init__(self, block: Block) -> None:
         self._block = block
         self.probes = 0
+        self._asking: set[asyncio.Task] = set()
         self._checked_at = Mono(-1e9)
 
     def check(self) -> None:
@@ -113,7 +115,7 @@
             (ref, view.record.spec.save_s)
             for view in block.store.on(machine.id)
             if view.record.spec.checkpoint_s > 0
-            for ref in block.placed_refs(view.record, machine.id)
+            for ref in placed_refs(view.record, machine.id)
             if ref in machine.tasks and machine.tasks[ref].state in ("running", "saving")
         ]
         for ref, save_s in saving:
@@ -138,7 +140,7 @@
         """Its newest report shows that its tasks are gone, and no start can be on its way to it any more: they are
         placed elsewhere."""
         block = self._block
-        refs = [ref for view in block.store.on(machine.id) for ref in block.placed_refs(view.record, machine.id)]
+        refs = [ref for view in block.store.on(machine.id) for ref in placed_refs(view.record, machine.id)]
         if refs and not any(ref in machine.tasks or machine.may_start_late(ref) for ref in refs):
             block.evict(machine.id, why)
 
@@ -163,15 +165,20 @@
         machine.probing = True
         self.probes += 1
         task = asyncio.ensure_future(self.ask(machine))
-        block.spawned.add(task)
-        task.add_done_callback(block.spawned.discard)
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+
+    def close(self) -> None:
+        """Gives up the questions on their way."""
+        for task in self._asking:
+            task.cancel()
 
     async def ask(self, machine: Machine) -> None:
         block = self._block
         asked = block.clock.mono()
         doubted = machine.health is Health.UNCONFIRMED
         try:
-            heard = await block.send(machine, [], PROBE_S)
+            heard = await block.orders.send(machine, [], PROBE_S)
         except Deposed:
             return
         finally:
--- /dev/null
+++ b/src/cloverplank/fleet/worker_orders.py
@@ -0,0 +1,176 @@
+"""Orders to workers: what each should do next, and requests that tell it at once."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from cloverplank.basic_types import JobId, MachineId, TaskRef
+from cloverplank.jobs.ranges import numbers
+from cloverplank.jobs.records import Phase
+from cloverplank.jobs.store import CachedJob
+from cloverplank.load import LoadMeter, Part
+from cloverplank.net.messages import Http, NoAnswer, NoRoom, NotSent
+from cloverplank.wire.codec import BadMessage, decode, encode
+from cloverplank.wire.workers import ORDERS_PATH, DirectOrders, Order, Report
+
+from .block_types import placed_refs
+from .errors import Deposed
+from .machines import Health, Machine
+from .presence import PROBE_S
+
+if TYPE_CHECKING:
+    from .holder import Block
+
+log = logging.getLogger("cloverplank.holder")
+
+MAX_ORDERS = 250  # keeps an answer well under 64 KiB
+REAPS = 8  # ended tasks that wait on a machine for other orders to go with: each change there is one more report
+DIRECT_S = 2.0  # time limit of a request
+FAILED_PAUSE_S = 2.0  # that a worker is not sent to after a request that failed
+
+
+def started_by(orders: list[Order]) -> list[TaskRef]:
+    """The tasks that the orders start."""
+    refs = []
+    for order in orders:
+        if order.op == "start":
+            job, _, index = order.task.rpartition("/")
+            refs.append(TaskRef(JobId(job), int(index), order.attempt))  # type: ignore[arg-type]
+    return refs
+
+
+class WorkerOrders:
+    """Orders to the workers of one block."""
+
+    def __init__(self, block: Block, http: Http, meter: LoadMeter) -> None:
+        self._block = block
+        self._http = http
+        self._meter = meter
+        self._spawned: set[asyncio.Task] = set()
+
+    def due(self, machine: Machine) -> tuple[list[Order], list[Order]]:
+        """What the worker should do next, from the committed records and its newest report; and what it may
+        forget, which is in no hurry."""
+        orders: list[Order] = []
+        reaps: list[Order] = []
+        for ref, task in machine.tasks.items():
+            view = self._block.store.get(ref.job)
+            wanted = view is not None and view.record.run_of(ref, machine.id) is not None
+            if task.state == "ended":
+                # Not while a start may still come: it would be started again.
+                if not wanted and not machine.may_start_late(ref):
+                    reaps.append(Order("reap", ref.name, ref.attempt))
+            elif not wanted or (view is not None and not self._block.store.wanted(view)):
+                orders.append(Order("stop", ref.name, ref.attempt, 0.0))
+            elif ref in self._block.stops and task.state != "saving":
+                orders.append(Order("stop", ref.name, ref.attempt, self._block.stops[ref].grace_s))
+        if machine.health is Health.UP and self._block.may_start():
+            for view in self._block.store.on(machine.id):
+                if not self._block.store.wanted(view) or view.staged.phase is not Phase.OPEN:
+                    continue
+                for ref in placed_refs(view.record, machine.id):
+                    # Both: what is staged to leave the machine must not be started there again.
+                    if ref not in machine.tasks and view.staged.run_of(ref, machine.id) is not None:
+                        orders.append(Order("start", ref.name, ref.attempt))
+                        if ref in self._block.stops:
+                            orders.append(Order("stop", ref.name, ref.attempt, 0.0))
+        return orders[:MAX_ORDERS], reaps
+
+    def job_changed(self, view: CachedJob | None) -> None:
+        """A record changed: machines that have something to do are told at once."""
+        if view is None:
+            return
+        for run in view.record.runs:
+            machine = self._block.machines.get(MachineId(run.machine))
+            if machine is not None and machine.health is Health.UP:
+                cancelled = not self._block.store.wanted(view)
+                for index in numbers(run.tasks):
+                    ref = TaskRef(view.id, index, run.attempt)  # type: ignore[arg-type]
+                    if cancelled != (ref not in machine.tasks):
+                        self.push(machine)
+                        break
+
+    def push(self, machine: Machine) -> None:
+        """Sends orders straight to the worker; one such request at a time for each machine."""
+        if machine.pushing:
+            machine.push_again = True
+            return
+        if not machine.addr or self._block.clock.mono() - machine.push_failed_at < FAILED_PAUSE_S:
+            return
+        machine.pushing = True
+        task = asyncio.ensure_future(self._meter.metered(Part.ORDERS, self._push(machine)))
+        self._spawned.add(task)
+        task.add_done_callback(self._spawned.discard)
+
+    async def _push(self, machine: Machine) -> None:
+        try:
+            await asyncio.sleep(0)  # what changes in the same moment goes in one request
+            again = True
+            while again and not self._block.deposed and machine.session > 0:
+                machine.push_again = False
+                orders, reaps = self.due(machine)
+                if not orders:
+                    return
+                await self.send(machine, (reaps + orders)[:MAX_ORDERS])
+                again = machine.push_again
+        except Deposed:
+            pass
+        finally:
+            machine.pushing = False
+
+    async def send(self, machine: Machine, orders: list[Order], timeout: float = DIRECT_S) -> bool | None:
+        """True: carried out. False: refused, or no answer. None: nothing can be said of the machine."""
+        started = set(started_by(orders))
+        machine.in_orders |= started
+        session = machine.session
+        body = encode(DirectOrders(self._block.token, session, orders))
+        try:
+            response = await self._http.request(machine.addr, "POST", ORDERS_PATH, body, timeout)
+            if response.status not in (200, 409):
+                raise NoAnswer(str(response.status))
+            report = decode(response.body, Report)
+        except NotSent as err:
+            machine.push_failed_at = self._block.clock.mono()
+            machine.in_orders -= started
+            log.debug("orders to %s not sent: %s", machine.id, err)
+            return None if isinstance(err, NoRoom) else False
+        except (NoAnswer, BadMessage) as err:
+            # They may be executed at any later time while session and token stand.
+            now = self._block.clock.mono()
+            machine.push_failed_at = now
+            machine.in_orders -= started
+            if machine.session == session:
+                machine.unresolved.update({ref: (session, self._block.token, now) for ref in started})
+            log.debug("orders to %s: no answer: %s", machine.id, err)
+            return False
+        machine.in_orders -= started
+        if report.token > self._block.token and report.machine not in self._block.untrusted_workers:
+            self._block.depose(report)
+        if report.machine == machine.id:
+            self._block.learn(machine, report, in_answer=False)
+        return response.status == 200
+
+    async def fence(self, machine: Machine) -> None:
+        """Shows the worker our token, so that no former holder's answers or orders count any more."""
+        if machine.pushing or not machine.addr:
+            return
+        machine.pushing = True
+        try:
+            session = machine.session
+            await self.send(machine, [], PROBE_S)
+            if not machine.fenced and machine.session != session:
+                # Refused for its session, which we had to guess: a worker takes no token from such orders.
+                await self.send(machine, [], PROBE_S)
+        except Deposed:
+            pass
+        finally:
+            machine.pushing = False
+        if machine.fenced:
+            self.push(machine)
+
+    def close(self) -> None:
+        """Gives up what is being sent."""
+        for task in self._spawned:
+            task.cancel()
--- a/tests/test_checks_can_fail.py
+++ b/tests/test_checks_can_fail.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cloverplank.api import users
-from cloverplank.fleet import dependency_sweep, holder, machines, placer, presence
+from cloverplank.fleet import dependency_sweep, holder, machines, placer, presence, worker_orders
 from cloverplank.jobs import dependencies, limits, placing, records
 from cloverplank.jobs.dependencies import Verdict
 from cloverplank.net.messages import answer
@@ -65,13 +65,13 @@
 
 
 def test_ran_cancelled(monkeypatch: pytest.MonkeyPatch) -> None:
-    real = holder.Block._orders
+    real = worker_orders.WorkerOrders.due
 
     def never_stopping(self, machine):  # noqa: ANN001, ANN202
         orders, reaps = real(self, machine)
         return [o for o in orders if o.op != "stop"], reaps
 
-    monkeypatch.setattr(holder.Block, "_orders", never_stopping)
+    monkeypatch.setattr(worker_orders.WorkerOrders, "due", never_stopping)
     assert "ran_cancelled" in broken()
 
 
--- a/tests/test_holder.py
+++ b/tests/test_holder.py
@@ -9,8 +9,8 @@
 
 from cloverplank.basic_types import FencingToken, MachineId, Mono, TaskRef, Zone
 from cloverplank.fleet.errors import Unanswered
-from cloverplank.fleet.holder import REAPS
 from cloverplank.fleet.machines import Health, Machine
+from cloverplank.fleet.worker_orders import REAPS
 from cloverplank.net.messages import NoRoom
 from cloverplank.wire.workers import Report, ReportedTask
 
@@ -232,7 +232,7 @@
         async def no_socket(*args, **more) -> None:  # noqa: ANN002, ANN003
             raise NoRoom("no free connection")
 
-        block._http.request = no_socket
+        block.orders._http.request = no_socket
         mine = block.machines[machine.id]
         mine.proven = False
         block._presence.probes += 1
@@ -252,8 +252,8 @@
         controller, machine = heard(world)
         block = next(iter(controller.blocks.values()))
         looked: list[str] = []
-        real = block._learn
-        block._learn = lambda m, *more, **named: (looked.append(m.id), real(m, *more, **named))[1]
+        real = block.learn
+        block.learn = lambda m, *more, **named: (looked.append(m.id), real(m, *more, **named))[1]
         before = block.machines[machine.id].seq
         await asyncio.sleep(4 * world.lease_s)
         assert block.machines[machine.id].seq > before + 10 and machine.id not in looked
