--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -323,6 +323,28 @@
     play(scenario, 58, old=(), soak_s=20.0)
 
 
+@pytest.mark.parametrize(
+    "trouble", [leader_ends, back_at_once, state_service_away], ids=lambda trouble: trouble.__name__
+)
+def test_troubles_in_a_retreat(trouble) -> None:  # noqa: ANN001
+    """They strike while compact records are rewritten."""
+
+    async def scenario(world: World) -> None:
+        await reached(world, 1, RolloutPhase.FINALIZED)
+        while not stored_compact(world):
+            await asyncio.sleep(0.1)
+        changed = world.spawn(set_goal(world, 0))
+        await reached(world, 1, RolloutPhase.RETREATING)
+        await trouble(world)
+        await changed
+        await reached(world, 0, RolloutPhase.FINALIZED)
+        assert not stored_compact(world)
+        roll_back(world, "c-1")
+        await asyncio.sleep(5)
+
+    play(scenario, 60, old=())
+
+
 # -- fencing, and keys that can't be read
 
 
