--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -49,6 +49,8 @@
 from cloverplank.wire.statesvc import Commit, Condition, Put
 from cloverplank.wire.users import ErrorAnswer
 from cloverplank.wire.workers import REPORT_PATH
+from cloverplank.zones.observation import ZoneObserver
+from cloverplank.zones.watch import ZoneWatch
 
 log = logging.getLogger("cloverplank.controller")
 
@@ -197,6 +199,18 @@
             state_limits, self.zones, self.session, self.client, self.mirror, self.queue, self.hints.need_of
         )
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
+        homes = {NodeId(platform.label): Zone(platform.location)}
+        homes |= {NodeId(peer.label): Zone(peer.location) for peer in platform.peers}
+        self.zone_watch = ZoneWatch(
+            self.zones,
+            operator.zones,
+            clock,
+            self.session,
+            self.mirror,
+            self.queue,
+            self.committed,
+            ZoneObserver(self.zones, homes, self.roster, clock, workers.report_s),
+        )
         self.leader = Leader(
             platform,
             operator,
@@ -363,14 +377,15 @@
             return
         yield
         self._note_own()
-        turns = self.turns()
+        plan = self.zone_watch.plan(self.targets.time_left)
+        turns = plan.arrange(self.turns())
         if leads:
             with self._meter.section(Part.LEADER_ROUND):
-                self.leader.round(turns)
+                self.leader.round(turns, plan)
         for block in list(self.blocks.values()):
             yield
             with self._meter.section(Part.PLACEMENT):
-                block.place(turns, self.headroom)
+                block.place(turns, self.headroom, plan)
             yield
             with self._meter.section(Part.PACKING):
                 block.pack(self.headroom)
@@ -384,6 +399,7 @@
                     await self.session.seek_leadership()
                     await self.leader.grants.grant_blocks()
                     await self.rollout.tend()
+                    await self.zone_watch.tend()
                     for block in list(self.blocks.values()):
                         await self.own.tend(block, self._peers_are_well())
                 self.shares.update()
--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from cloverplank.basic_types import Clock, FencingToken, MachineId, Mono, TaskRef, Zone
+from cloverplank.basic_types import Clock, FencingToken, MachineId, Mono, TaskRef, WallMs, Zone
 from cloverplank.jobs import records
 from cloverplank.jobs.headroom import Headroom
 from cloverplank.jobs.placing import TINY, Rooms, Turn
@@ -18,6 +18,8 @@
 from cloverplank.wire.cloud import MachineType
 from cloverplank.wire.statesvc import Condition
 from cloverplank.wire.workers import Order, Report, ReportAnswer
+from cloverplank.zones.plan import ClassOrder, PlanLimits, StartPace, ZonePlan
+from cloverplank.zones.records import ZoneHealth
 
 from .block_types import Limits, Stop, placed_refs
 from .errors import Deposed, Unanswered
@@ -33,6 +35,8 @@
 
 log = logging.getLogger("cloverplank.holder")
 
+IDLE_PLAN = ZonePlan({}, PlanLimits(0, 0.0, 0), ClassOrder(), WallMs(0), lambda record, now: None)
+
 MAX_MACHINES = 20_000  # in one zone: only a bound on memory
 
 
@@ -66,6 +70,8 @@
         self.types = types
         self.returning = returning
         self.may_start = may_start
+        self.plan = IDLE_PLAN
+        self.start_pace = StartPace(clock.mono())
         self.request_round = request_round
         self.since = clock.mono()
         # What a former holder may have answered until its bound, and then the lease of the worker.
@@ -203,6 +209,7 @@
                 machine.move(Health.SUSPECT, "it answers, and its reports are missing")
             elif machine.proven:
                 machine.move(Health.UP, "report")
+                machine.up_since = now
                 self.request_round()
             else:
                 machine.move(Health.UNCONFIRMED, "a report after a silence or a new session")
@@ -267,14 +274,33 @@
                 continue  # full for this round: under a backlog most are
             if machine.id in self.returning or self.outcomes.faulty(machine) or machine.id in self._packing.emptying:
                 continue
+            if self.plan.withholds(self.zone) and not self._is_admitted(machine):
+                continue
             result.append(self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images))
         return Rooms(result, least_cpus)
 
+    def recovers(self) -> bool:
+        """The zone returns after a loss: its machines take new tasks in steps."""
+        return self.plan.health(self.zone) is ZoneHealth.RECOVERING
+
+    def _is_admitted(self, machine: Machine) -> bool:
+        up_for_s = 0.0 if machine.up_since is None else self.clock.mono() - machine.up_since
+        return self.plan.admits(self.zone, machine.id, up_for_s) and self._is_reconciled(machine)
+
+    def _is_reconciled(self, machine: Machine) -> bool:
+        """Nothing runs on it that is placed elsewhere by now: stale copies have ended before their room counts."""
+        for ref, task in machine.tasks.items():
+            view = self.store.get(ref.job)
+            if task.state != "ended" and (view is None or view.record.run_of(ref, machine.id) is None):
+                return False
+        return True
+
     def check_machines(self) -> None:
         self._presence.check()
 
-    def place(self, turns: list[Turn], headroom: Headroom) -> None:
-        """Places what is allotted to this zone, in order."""
+    def place(self, turns: list[Turn], headroom: Headroom, plan: ZonePlan) -> None:
+        """Places what is allotted to this zone, in order, at the pace that the plan allows."""
+        self.plan = plan
         if self.may_start() and not self.deposed:
             self._placer.run(turns, headroom)
 
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -25,6 +25,7 @@
 from cloverplank.wire.cloud import ListedMachine, MachineType, RentRequest
 from cloverplank.wire.peers import Hint
 from cloverplank.wire.statesvc import Condition, Delete, Put
+from cloverplank.zones.plan import ZonePlan
 
 from . import renting
 from .cloud import Cloud, CloudDown, NoCapacity
@@ -109,7 +110,7 @@
 
     # -- limits and the split
 
-    def round(self, turns: list[Turn]) -> None:
+    def round(self, turns: list[Turn], plan: ZonePlan) -> None:
         """Allots tasks to zones; remembers what lacks room."""
         stamp = self._session.leads()
         if stamp is None:
@@ -124,12 +125,13 @@
         totals = team_limits.totals(turns, lambda job: self._store.jobs[job].held(), self._limits, others)
         ready = self._headroom.turns(self._clock.wall())
         least = min((t.record.spec.cpus for t in [*ready, *turns] if t.record.missing_count()), default=0.0)
-        rooms = self.rooms(least)
+        rooms = self.rooms(plan, least)
         shortages: list[Shortage] = []
 
         def rentable(zone: Zone) -> bool:
             now = self._clock.mono()
-            return not any(k.zone == zone and now < until for k, until in self._refused.items())
+            refused = any(k.zone == zone and now < until for k, until in self._refused.items())
+            return not refused and plan.rentable(zone)
 
         # Room is kept ready before work beyond guarantees gets any: a backlog of such work would
         # otherwise fill whatever is rented for the headroom, and it would be rented for ever.
@@ -141,6 +143,8 @@
             record = turn.record
             if not record.missing_count():
                 continue  # all it wants is placed
+            if turn.held:
+                continue
             view = self._store.jobs[record.id]
             try:
                 allotment, short = team_limits.split(turn, totals[view.id], self._zones, rooms, rentable)
@@ -165,14 +169,15 @@
             shortages += team_limits.split(turn, turn.record.spec.tasks, self._zones, rooms, rentable)[1]
         return shortages
 
-    def rooms(self, least_cpus: float = 0.0) -> Rooms:
+    def rooms(self, plan: ZonePlan, least_cpus: float = 0.0) -> Rooms:
+        """What is free, or will be once it is up, on machines that may take new tasks."""
         types = self._types()
         result: list[Room] = []
         for known in self._roster.known.values():
             kind = types.get(known.type)
             if kind is None or self._store.load(known.id).cpus + least_cpus > kind.cpus + TINY:
                 continue
-            if not self._usable(known):
+            if not self._usable(known) or not self._admitted(known, plan):
                 continue
             room = self._rooming.room(known.id, known.zone, kind, known.spot, known.images)
             room.real = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
@@ -188,6 +193,10 @@
                 )
         return Rooms(result, least_cpus)
 
+    def _admitted(self, known: Known, plan: ZonePlan) -> bool:
+        up_for_s = 0.0 if known.up_since is None else self._clock.mono() - known.up_since
+        return plan.admits(known.zone, known.id, up_for_s)
+
     def _usable(self, known: Known) -> bool:
         if known.id in self._returning or known.ends or known.state == "failed":
             return False
--- a/src/cloverplank/fleet/machines.py
+++ b/src/cloverplank/fleet/machines.py
@@ -33,6 +33,7 @@
     type: str = ""
     spot: bool = False
     health: Health = Health.UNHEARD
+    up_since: Mono | None = None  # when it last became up
     fenced: bool = False  # the worker has our token: nobody else's answers count for it any more
     session: int = 0
     seq: int = 0
--- a/src/cloverplank/fleet/placer.py
+++ b/src/cloverplank/fleet/placer.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from cloverplank.basic_types import MachineId, Mono, TaskRef
 from cloverplank.jobs import records
 from cloverplank.jobs.dependencies import RANKS
 from cloverplank.jobs.headroom import Headroom
-from cloverplank.jobs.placing import Rooms, Turn, occupy
+from cloverplank.jobs.placing import Room, Rooms, Turn, occupy
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.store import CachedJob
 from cloverplank.state.queue import Urgency
@@ -26,9 +27,47 @@
 ARRAYS_S, LONGEST_ARRAYS_S = 0.002, 0.5
 
 
+MOST_PLACED = 400  # tasks of one job in one round
+FAILS_EVERYWHERE = 3  # a job that failed on so many machines is tried on any
+
+
+class ReturnPace:
+    """What may be started in one round in a zone that returns: starts a second, and machines that fetch images."""
+
+    def __init__(self, block: Block) -> None:
+        limits = block.plan.limits
+        self._pace = block.start_pace
+        self._rate = limits.starts_a_second
+        self._starts = self._pace.available(self._rate, block.clock.mono())
+        pulling = [m.id for m in block.machines.values() if any(t.state == "pulling" for t in m.tasks.values())]
+        self._pulling = set(pulling)
+        self._most_pulling = limits.pulls_at_once
+
+    def allows(self, tasks: int, whole: bool) -> int:
+        """How many of so many tasks may start now. A gang starts whole, once a second's worth has gathered."""
+        if whole:
+            return tasks if self._starts >= min(tasks, int(self._rate)) else 0
+        return min(tasks, self._starts)
+
+    def may_use(self, room: Room, image: str) -> bool:
+        """The machine has the image, or may be one of those that fetch."""
+        if image in room.images or room.machine in self._pulling:
+            return True
+        if len(self._pulling) >= self._most_pulling:
+            return False
+        self._pulling.add(room.machine)
+        return True
+
+    def took(self, starts: int) -> None:
+        """They were placed."""
+        self._starts -= starts
+        self._pace.take(starts)
+
+
 class Placer:
     def __init__(self, block: Block) -> None:
         self._block = block
+        self._pace: ReturnPace | None = None  # in this round
         self.short = False  # a replica lacked room in the last round
         self.arrays = 0  # that have tasks here
         self._arrays_at = Mono(-1e9)
@@ -49,9 +88,12 @@
             if not arrays_too and not view.record.spec.service and turn.rank > RANKS["urgent"]:
                 continue
             turn.record = view.staged  # as it is by now: the leader may have allotted it in this same round
+            if turn.held:
+                continue
             if turn.record.allot.get(block.zone, 0) > turn.record.placed(block.zone):
                 wanting.append((turn, view))
         self.short = False
+        self._pace = ReturnPace(block) if block.recovers() else None
         if not wanting:
             return  # most rounds: no look at hundreds of machines for nobody
         rooms = block.rooms(min(turn.record.spec.cpus for turn, _ in wanting))
@@ -84,22 +126,40 @@
         most_runs = block.limits.space.runs_left(record)
         if most_runs <= 0:
             return 0  # the record is as large as it may get; it goes on as tasks end
+        if self._pace is not None:
+            allowed_starts = self._pace.allows(most, spec.gang)
+            if allowed_starts <= 0:
+                return most
+            most_placed = min(most, allowed_starts)
+        else:
+            most_placed = most
         usable, others = (rooms, spare) if ready else (spare, rooms)
         if spec.gang and usable.free(spec, block.zone, most, turn.pressing) < most:
             return most
         bad = block.outcomes.errors.get(record.id, {})
-        allowed = (lambda room: room.machine not in bad) if 0 < len(bad) < 3 else None
-        placements = usable.fill(record, block.zone, most if spec.gang else min(most, 400), turn.pressing, allowed)
+        allowed = self._allowed(bad, spec.image)
+        most_now = most if spec.gang else min(most_placed, MOST_PLACED)
+        placements = usable.fill(record, block.zone, most_now, turn.pressing, allowed)
         if len(placements) > most_runs and not spec.gang:
             # The fullest pieces: a record over the limit would be refused whole, again and again.
             placements = sorted(placements, key=lambda p: -p.count)[:most_runs]
         for placement in placements:
             occupy(others.by_name[placement.machine], spec, placement.count)
+        if self._pace is not None:
+            self._pace.took(sum(placement.count for placement in placements))
         if placements:
             log.debug("place %s: %s", record.id, " ".join(f"{p.machine}x{p.count}" for p in placements))
             block.change(view, records.place(placements, record.next), Urgency.PLACE, plan="place")
         return most - sum(p.count for p in placements)
 
+    def _allowed(self, failed_on: Collection[str], image: str) -> Callable[[Room], bool] | None:
+        """Which rooms may be used beside having room; None: all."""
+        pace = self._pace
+        elsewhere = 0 < len(failed_on) < FAILS_EVERYWHERE
+        if pace is not None:
+            return lambda room: not (elsewhere and room.machine in failed_on) and pace.may_use(room, image)
+        return (lambda room: room.machine not in failed_on) if elsewhere else None
+
     def _gather(self, view: CachedJob) -> None:
         """A gang that lost a member: its other members save and stop."""
         block = self._block
--- a/src/cloverplank/fleet/roster.py
+++ b/src/cloverplank/fleet/roster.py
@@ -26,6 +26,7 @@
     images: frozenset[str] = frozenset()
     hinted_images: list[str] = field(default_factory=list)
     idle_since: Mono | None = None
+    up_since: Mono | None = None  # as its holder tells
 
 
 class Roster:
@@ -77,6 +78,10 @@
         known.addr = hint.addr or known.addr
         known.type, known.spot = hint.type or known.type, hint.spot
         known.heard_at = Mono(now - hint.silent_s)
+        if hint.state != "up":
+            known.up_since = None
+        elif known.up_since is None:
+            known.up_since = now
         known.health = hint.state
         known.ends = hint.notice_s is not None
         if hint.images != known.hinted_images:
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -218,6 +218,7 @@
     finish: float = 0.0
     pressing: bool = True  # False: it can wait for cheap room, and wakes no idle ordinary machine
     overdue: int = 0  # waits without one task started: 1, as if guaranteed; 2, before all others
+    held: bool = False  # waits while more important work of a lost zone lacks room
     claim: Claim | None = None  # where other jobs that need it may make it more urgent than its own rank says
 
     @property
@@ -282,6 +283,13 @@
         gone = (now - record.at) / 1000 + record.spec.estimate_s * GUESS
         return [target - gone for target in self.all(record)]
 
+    def time_left(self, record: JobRecord, now: WallMs) -> float | None:
+        """Seconds for which a job can still wait and meet its next target, or its last one; None: it has none."""
+        lefts = self.lefts(record, now)
+        if not lefts:
+            return None
+        return next((left for left in lefts if left >= 0), lefts[-1])
+
     def pressing(self, record: JobRecord, now: WallMs) -> bool:
         spec = record.spec
         if not spec.spot or self.claim_of(record).rank <= RANKS["urgent"]:
--- a/src/cloverplank/rollout/gates.py
+++ b/src/cloverplank/rollout/gates.py
@@ -51,7 +51,15 @@
     writes=frozenset({Shape.PLAIN}),
     schemas=frozenset({"FormatRecord", "RolloutRecord"}),
 )
-FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS, STAGED_ROLLOUT)
+ZONE_HEALTH = Feature(
+    "zone-health",
+    1,
+    Stage.OWN_KEYS,
+    reads=frozenset({Shape.PLAIN}),
+    writes=frozenset({Shape.PLAIN}),
+    schemas=frozenset({"ZoneRecord"}),
+)
+FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS, STAGED_ROLLOUT, ZONE_HEALTH)
 
 OLDEST_VERSION = 0  # the lowest cluster version that this program reads
 NEWEST_VERSION = max(feature.version for feature in FEATURES)
--- a/src/cloverplank/schemas.py
+++ b/src/cloverplank/schemas.py
@@ -20,6 +20,7 @@
 from cloverplank.state.keys import BlockRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.peers import Hint
+from cloverplank.zones.records import ZoneRecord
 
 TYPES: tuple[type, ...] = (
     BlockRecord,
@@ -35,6 +36,7 @@
     ReturnRecord,
     RolloutRecord,
     WaitingRecord,
+    ZoneRecord,
 )
 
 
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -14,7 +14,9 @@
 from cloverplank.rollout.gates import NEWEST_VERSION
 from cloverplank.settings import BadSettings
 from cloverplank.settings import rollout as rollout_settings
+from cloverplank.settings import zones as zone_settings
 from cloverplank.settings.rollout import RolloutSettings
+from cloverplank.settings.zones import ZoneSettings
 
 
 @dataclass(frozen=True)
@@ -100,6 +102,7 @@
     values: dict[str, float] = field(default_factory=lambda: {s.name: s.default for s in TABLE})
     zone_weights: dict[str, float] = field(default_factory=dict)
     rollout: RolloutSettings = field(default_factory=RolloutSettings)
+    zones: ZoneSettings = field(default_factory=ZoneSettings)
 
     def __getattr__(self, name: str) -> float:
         try:
@@ -120,6 +123,7 @@
         for zone, weight in sorted(self.zone_weights.items()):
             lines.append(f'zone_weight {{ zone: "{zone}" weight: {weight:g} }}')
         lines += self.rollout.text()
+        lines += self.zones.text()
         return "\n".join(lines) + "\n"
 
 
@@ -142,13 +146,15 @@
     for number, setting in enumerate(TABLE, start=2):
         operator.field.add(name=setting.name, number=number, type=kinds.TYPE_DOUBLE, label=kinds.LABEL_OPTIONAL)
     rollout_settings.declare(file, kinds)
-    operator.field.add(
-        name="rollout",
-        number=len(TABLE) + 2,
-        type=kinds.TYPE_MESSAGE,
-        label=kinds.LABEL_OPTIONAL,
-        type_name=".cloverplank.Rollout",
-    )
+    zone_settings.declare(file, kinds)
+    for number, name in enumerate(("rollout", "zones"), start=len(TABLE) + 2):
+        operator.field.add(
+            name=name,
+            number=number,
+            type=kinds.TYPE_MESSAGE,
+            label=kinds.LABEL_OPTIONAL,
+            type_name=f".cloverplank.{name.capitalize()}",
+        )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
     return message_factory.GetMessageClass(pool.FindMessageTypeByName("cloverplank.Operator"))
@@ -184,7 +190,8 @@
         if entry.zone in weights:
             raise BadSettings(f"zone_weight: {entry.zone} is given twice")
         weights[entry.zone] = entry.weight
-    return Operator(values, weights, rollout_settings.from_message(message.rollout, NEWEST_VERSION))
+    rollout = rollout_settings.from_message(message.rollout, NEWEST_VERSION)
+    return Operator(values, weights, rollout, zone_settings.from_message(message.zones))
 
 
 def read_operator(path: Path | None) -> Operator:
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -18,6 +18,7 @@
 WAITING = "cp/wait/"  # jobs that wait for others; versions without job chains don't read this prefix
 FORMAT = "cp/format"  # the cluster version as announced to programs that don't read ROLLOUT
 ROLLOUT = "cp/rollout"
+ZONES = "cp/zone/"
 
 
 def node(label: str) -> str:
@@ -28,6 +29,10 @@
     return BLOCKS + zone.replace(" ", "_")
 
 
+def zone(name: str) -> str:
+    return ZONES + name.replace(" ", "_")
+
+
 def job(job_id: str) -> str:
     return JOBS + job_id
 
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -20,6 +20,7 @@
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Change
+from cloverplank.zones.records import ZoneRecord
 
 from . import keys
 from .client import Lost, Refused, StateClient, Unknown
@@ -38,6 +39,7 @@
     (keys.FORMAT, FormatRecord),
     (keys.ROLLOUT, RolloutRecord),
     (keys.NODES, NodeRecord),
+    (keys.ZONES, ZoneRecord),
     (keys.BLOCKS, BlockRecord),
     (keys.RENTALS, RentalRecord),
     (keys.RETURNS, ReturnRecord),
--- /dev/null
+++ b/src/cloverplank/zones/plan.py
@@ -0,0 +1,149 @@
+"""The order of work while a zone is lost or returns, and which of its machines take new tasks. Pure decisions."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Mapping, Sequence
+from enum import IntEnum
+
+from msgspec import Struct
+
+from cloverplank.basic_types import MachineId, WallMs, Zone
+from cloverplank.jobs.placing import Turn
+from cloverplank.jobs.records import JobRecord
+
+from .records import WHOLE, ZoneHealth, ZoneRecord
+
+NO_TARGET_S = 1e9  # the time left of work that nobody waits for
+LONGEST_WITHHELD_S = 60.0  # for which a machine that is up gets no new tasks, at the most
+TARGET_OVER_S = -60.0  # work that is later than this is not hurried any more
+
+
+class Importance(IntEnum):
+    """The order of re-placement; the lowest goes first."""
+
+    SERVICE = 0  # replicas are missing
+    DEADLINE = 1  # has a target that can still be met
+    GUARANTEED = 2
+    BULK = 3
+
+
+class ClassOrder(Struct, frozen=True):
+    """The operators' override, by class of jobs."""
+
+    first: frozenset[str] = frozenset()
+    last: frozenset[str] = frozenset()
+
+
+class PlanLimits(Struct, frozen=True):
+    """Bounds on what a plan does."""
+
+    longest_hold_ms: int  # that bulk work is held after the loss, at the most
+    starts_a_second: float  # in a zone that returns
+    pulls_at_once: int  # machines of such a zone that fetch images
+
+
+class ZonePlan:
+    """What the committed health of all zones means for the order of work at this moment.
+
+    `time_left`: seconds that a job can still wait for its next target; None where it has none.
+    """
+
+    def __init__(
+        self,
+        records: Mapping[Zone, ZoneRecord],
+        limits: PlanLimits,
+        classes: ClassOrder,
+        now: WallMs,
+        time_left: Callable[[JobRecord, WallMs], float | None],
+    ) -> None:
+        self._records = records
+        self.limits = limits
+        self._classes = classes
+        self._now = now
+        self._time_left = time_left
+        self._disturbed = [
+            record for record in records.values() if record.health in (ZoneHealth.LOST, ZoneHealth.RECOVERING)
+        ]
+
+    def is_idle(self) -> bool:
+        """No zone is lost or returns: work goes in its usual order."""
+        return not self._disturbed
+
+    def health(self, zone: Zone) -> ZoneHealth:
+        """The committed health of a zone."""
+        record = self._records.get(zone)
+        return ZoneHealth.HEALTHY if record is None else record.health
+
+    def withholds(self, zone: Zone) -> bool:
+        """Not all machines of the zone that report take new tasks."""
+        return self.health(zone) in (ZoneHealth.LOST, ZoneHealth.RECOVERING)
+
+    def admits(self, zone: Zone, machine: MachineId, up_for_s: float) -> bool:
+        """The machine may take new tasks. Which ones do is the same for every controller and every look; one that has
+        been up for long does in any case, so that nothing waits beside it for ever."""
+        if not self.withholds(zone) or up_for_s >= LONGEST_WITHHELD_S:
+            return True
+        return zlib.crc32(machine.encode()) % WHOLE < self._records[zone].admitted
+
+    def rentable(self, zone: Zone) -> bool:
+        """New machines are rented there. Where every zone is lost, in all of them: something has to run."""
+        lost = {Zone(record.zone) for record in self._disturbed if record.health is ZoneHealth.LOST}
+        return zone not in lost or lost >= self._records.keys()
+
+    def arrange(self, turns: Sequence[Turn]) -> list[Turn]:
+        """The turns in the order of an evacuation; bulk work is held while more important work lacks room."""
+        if self.is_idle():
+            return list(turns)
+        ranked = sorted(turns, key=self._key)
+        holding = any(self.importance(turn) <= Importance.DEADLINE and turn.record.missing_count() for turn in ranked)
+        for turn in ranked:
+            turn.held = holding and self.importance(turn) is Importance.BULK and self._may_hold(turn)
+        return ranked
+
+    def _may_hold(self, turn: Turn) -> bool:
+        """Held, not forgotten: no longer than the bound from when the job began to wait."""
+        waits_since = max([turn.record.at, *(entry.at for entry in turn.record.evictions)])
+        return not turn.overdue and self._now - waits_since < self.limits.longest_hold_ms
+
+    def importance(self, turn: Turn) -> Importance:
+        """How soon a job is served while a zone is lost or returns."""
+        spec = turn.record.spec
+        if spec.job_class in self._classes.last:
+            return Importance.BULK
+        if spec.service or spec.job_class in self._classes.first:
+            return Importance.SERVICE
+        left = self._time_left(turn.record, self._now)
+        if left is not None and left > TARGET_OVER_S:
+            return Importance.DEADLINE
+        return Importance.GUARANTEED if turn.guaranteed else Importance.BULK
+
+    def _key(self, turn: Turn) -> tuple[bool, int, float, int, int, str]:
+        importance = self.importance(turn)
+        left = self._time_left(turn.record, self._now) if importance is Importance.DEADLINE else None
+        return (
+            turn.overdue < 2,
+            Importance.GUARANTEED if turn.overdue and importance is Importance.BULK else importance,
+            NO_TARGET_S if left is None else left,
+            turn.rank,
+            turn.record.at,
+            turn.record.id,
+        )
+
+
+class StartPace:
+    """A bound on the starts a second in a zone that returns."""
+
+    def __init__(self, now: float) -> None:
+        self._level = 0.0
+        self._at = now
+
+    def available(self, rate: float, now: float) -> int:
+        """Starts that may be made now; at most a second's worth, and one at the least in the end."""
+        self._level = min(max(1.0, rate), self._level + rate * (now - self._at))
+        self._at = now
+        return int(self._level)
+
+    def take(self, starts: int) -> None:
+        """They were made. A gang takes more than a second's worth at once, and others wait for it."""
+        self._level -= starts
--- /dev/null
+++ b/src/cloverplank/zones/watch.py
@@ -0,0 +1,111 @@
+"""Zones of this deployment: the leader commits their health, every controller reads its plan from it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from cloverplank.basic_types import Clock, Mono, Stamp, WallMs, Zone
+from cloverplank.jobs.records import JobRecord
+from cloverplank.rollout.committed import CommittedRollout
+from cloverplank.rollout.gates import ZONE_HEALTH
+from cloverplank.settings.zones import ZoneSettings
+from cloverplank.state import keys
+from cloverplank.state.client import Lost, Refused, Unknown
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Full, Urgency
+from cloverplank.state.session import Session
+from cloverplank.wire.statesvc import Commit, Condition, Put
+
+from .health import Observation, Pace, next_record
+from .observation import MS_A_SECOND, ZoneObserver
+from .plan import ClassOrder, PlanLimits, ZonePlan
+from .records import ZoneHealth, ZoneRecord, healthy
+
+log = logging.getLogger("cloverplank.zones")
+
+LOOK_S = 0.5  # between two looks at the evidence
+TimeLeft = Callable[[JobRecord, WallMs], float | None]
+
+
+class ZoneWatch:
+    """Switched off, or with a single zone, it judges nothing and its plan is always idle."""
+
+    def __init__(
+        self,
+        zones: list[Zone],
+        settings: ZoneSettings,
+        clock: Clock,
+        session: Session,
+        mirror: Mirror,
+        queue: CommitQueue,
+        committed: CommittedRollout,
+        observer: ZoneObserver,
+    ) -> None:
+        self._zones = zones
+        self._on = settings.enabled and len(zones) > 1
+        self._clock = clock
+        self._session = session
+        self._mirror = mirror
+        self._queue = queue
+        self._committed = committed
+        self._observer = observer
+        self._pace = Pace(int(settings.quiet_s * MS_A_SECOND), int(settings.step_s * MS_A_SECOND))
+        self._limits = PlanLimits(
+            int(settings.longest_hold_s * MS_A_SECOND), settings.starts_a_second, settings.pulls_at_once
+        )
+        self._classes = ClassOrder(settings.first, settings.last)
+        self._next_look = Mono(-1e9)
+
+    # -- every controller
+
+    def records(self) -> dict[Zone, ZoneRecord]:
+        """The committed health of each zone. One that can't be read is no verdict."""
+        found = {}
+        for zone in self._zones:
+            stored = self._mirror.value(keys.zone(zone), ZoneRecord)
+            found[zone] = healthy(zone) if stored is None else stored[0]
+        return found
+
+    def plan(self, time_left: TimeLeft) -> ZonePlan:
+        """What the committed health means for the work of this moment."""
+        records = self.records() if self._on else {}
+        return ZonePlan(records, self._limits, self._classes, self._clock.wall(), time_left)
+
+    # -- the leader
+
+    async def tend(self) -> None:
+        """Commits what has changed, if this controller leads."""
+        if not self._on:
+            return
+        leader = self._session.leads()
+        if leader is None:
+            self._observer.forget()
+            return
+        now = self._clock.mono()
+        if now < self._next_look or self._committed.current().version < ZONE_HEALTH.version:
+            return
+        self._next_look = Mono(now + LOOK_S)
+        records = self.records()
+        for zone, seen in self._observer.look(self._session.members()).items():
+            await self._judge(leader, records[zone], seen)
+
+    async def _judge(self, leader: Stamp, record: ZoneRecord, seen: Observation) -> None:
+        after = next_record(record, seen, self._pace, self._clock.wall())
+        if after is None:
+            return
+        key = keys.zone(record.zone)
+        conditions = [Condition(keys.LEADER, leader), Condition(key, self._mirror.any_stamp(key))]
+        try:
+            answer = await self._queue.commit(Commit(conditions, [Put(key, after)]), Urgency.LEASE, once=True)
+        except (Lost, Full, Refused, Unknown) as err:
+            log.debug("zone %s: %s", record.zone, err)
+            return
+        if not answer.failed:
+            self._tell(record, after, seen)
+
+    def _tell(self, before: ZoneRecord, after: ZoneRecord, seen: Observation) -> None:
+        if after.health is not before.health:
+            log.info("zone %s: %s -> %s: %s", after.zone, before.health.value, after.health.value, seen.evidence.text())
+        if after.health is ZoneHealth.RECOVERING:
+            log.info("zone %s: %d%% of its machines take new tasks", after.zone, after.admitted)
