--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import click
 
@@ -15,6 +16,17 @@
     from cloverplank.settings.operator import Operator
     from cloverplank.settings.platform import Platform
 
+
+class Status(Protocol):
+    """What a status command shows."""
+
+    def as_json(self) -> str:
+        """One JSON object."""
+
+    def as_text(self) -> str:
+        """Some lines for a terminal."""
+
+
 OPERATOR_FILE = Path(__file__).resolve().parents[2] / "deploy" / "operator.txtpb"
 
 
@@ -25,6 +37,7 @@
     try:
         platform, operators = read_platform(config), read_operator(operator or OPERATOR_FILE)
         operators.rollout.check_names(platform.controllers())
+        operators.check_zones(platform.facts.zones)
         return platform, operators
     except BadSettings as err:
         click.echo(f"cloverplank: {err}", err=True)
@@ -165,13 +178,17 @@
     """Staged rollouts of new stored shapes."""
 
 
-@rollout.command()
-@CONFIG
-@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
-def status(config: Path, as_json: bool) -> None:
-    """Show phase, controllers and what is waited for, from committed state."""
-    from cloverplank.rollout.status import NO_STATUS, read_status
+@main.group()
+def zones() -> None:
+    """Zones that are lost, and that return."""
+
+
+JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
+
+
+def _show_status(config: Path, read: Callable[[Platform], Status], as_json: bool) -> None:
     from cloverplank.settings.platform import read_platform
+    from cloverplank.state.snapshot import NO_ANSWER
 
     try:
         platform = read_platform(config)
@@ -179,8 +196,28 @@
         click.echo(f"cloverplank: {err}", err=True)
         sys.exit(2)
     try:
-        found = read_status(platform)
-    except NO_STATUS as err:
+        found = read(platform)
+    except NO_ANSWER as err:
         click.echo(f"cloverplank: no answer from the state service {platform.outside.state}: {err}", err=True)
         sys.exit(1)
     click.echo(found.as_json() if as_json else found.as_text())
+
+
+@rollout.command("status")
+@CONFIG
+@JSON
+def rollout_status(config: Path, as_json: bool) -> None:
+    """Show phase, controllers and what is waited for, from committed state."""
+    from cloverplank.rollout.status import read_status
+
+    _show_status(config, read_status, as_json)
+
+
+@zones.command("status")
+@CONFIG
+@JSON
+def zones_status(config: Path, as_json: bool) -> None:
+    """Show the health of each zone and how far its return is, from committed state."""
+    from cloverplank.zones.status import read_status
+
+    _show_status(config, read_status, as_json)
--- a/src/cloverplank/rollout/status.py
+++ b/src/cloverplank/rollout/status.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import msgspec
 from msgspec import Struct
 
-from cloverplank.basic_types import Clock
 from cloverplank.jobs.layout import decode_stored, shape_of
 from cloverplank.jobs.shapes import Shape
-from cloverplank.net.client import Client
 from cloverplank.settings.platform import Platform
 from cloverplank.state import keys
-from cloverplank.state.client import Budget, Lost, Refused, StateClient, Unknown
 from cloverplank.state.keys import NodeRecord
+from cloverplank.state.snapshot import read_rows
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Row
 
@@ -22,9 +18,6 @@
 from .gates import FEATURES, NEWEST_VERSION, OLDEST_VERSION
 from .records import FormatRecord, RolloutPhase, RolloutRecord, initial_record
 
-CONNECTIONS = 4
-REQUESTS_A_SECOND = 50.0  # of the state service's limit that a look at the status may take
-
 
 class ControllerStatus(Struct, frozen=True):
     """What one configured or joined controller has committed."""
@@ -158,26 +151,8 @@
     return reasons
 
 
-async def _read_rows(client: StateClient) -> list[Row]:
-    """All keys but the final records, which hold no gated shape."""
-    rows: list[Row] = []
-    for prefix in (keys.FORMAT, keys.ROLLOUT, keys.NODES, keys.JOBS):
-        after = ""
-        while True:
-            page = await client.list(prefix, after)
-            rows += page.items
-            if not page.more or not page.items:
-                break
-            after = page.items[-1].key
-    return rows
-
-
 def read_status(platform: Platform) -> RolloutStatus:
-    """Asks the state service. Raises Refused or Unknown where it doesn't answer."""
-    clock = Clock()
-    budgets = Budget(REQUESTS_A_SECOND, clock), Budget(1.0, clock)
-    client = StateClient(Client(CONNECTIONS), platform.outside.state, clock, *budgets)
-    return status_of(asyncio.run(_read_rows(client)), platform.controllers())
-
-
-NO_STATUS = (Refused, Unknown, Lost)
+    """Asks the state service. Raises one of `state.snapshot.NO_ANSWER` where it doesn't answer."""
+    # All keys but the final records, which hold no gated shape.
+    rows = read_rows(platform, (keys.FORMAT, keys.ROLLOUT, keys.NODES, keys.JOBS))
+    return status_of(rows, platform.controllers())
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -113,6 +114,12 @@
     def weight(self, zone: str) -> float:
         return self.zone_weights.get(zone, 1.0)
 
+    def check_zones(self, zones: Sequence[str]) -> None:
+        """Refuses weights of zones that the deployment does not have, where lost zones are looked after."""
+        unknown = sorted(set(self.zone_weights) - set(zones))
+        if self.zones.enabled and unknown:
+            raise BadSettings(f"zone_weight: {unknown[0]} is no zone of this deployment")
+
     def text(self) -> str:
         """The effective settings in the format that is read, each with its line of documentation."""
         lines = []
--- /dev/null
+++ b/src/cloverplank/state/snapshot.py
@@ -0,0 +1,38 @@
+"""A look at committed keys from outside the service, for the commands that show a status."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from cloverplank.basic_types import Clock
+from cloverplank.net.client import Client
+from cloverplank.settings.platform import Platform
+from cloverplank.wire.statesvc import Row
+
+from .client import Budget, Lost, Refused, StateClient, Unknown
+
+CONNECTIONS = 4
+REQUESTS_A_SECOND = 50.0  # of the state service's limit that a look may take
+NO_ANSWER = (Refused, Unknown, Lost)  # what `read_rows` raises without the state service
+
+
+async def _read(client: StateClient, prefixes: Sequence[str]) -> list[Row]:
+    rows: list[Row] = []
+    for prefix in prefixes:
+        after = ""
+        while True:
+            page = await client.list(prefix, after)
+            rows += page.items
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+    return rows
+
+
+def read_rows(platform: Platform, prefixes: Sequence[str]) -> list[Row]:
+    """All rows under the prefixes. Raises one of NO_ANSWER."""
+    clock = Clock()
+    budgets = Budget(REQUESTS_A_SECOND, clock), Budget(1.0, clock)
+    client = StateClient(Client(CONNECTIONS), platform.outside.state, clock, *budgets)
+    return asyncio.run(_read(client, prefixes))
--- /dev/null
+++ b/src/cloverplank/zones/status.py
@@ -0,0 +1,103 @@
+"""The state of all zones as operators see it, made from committed keys alone."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from cloverplank.settings.platform import Platform
+from cloverplank.state import keys
+from cloverplank.state.keys import BlockRecord, NodeRecord
+from cloverplank.state.snapshot import read_rows
+from cloverplank.wire.codec import BadMessage, decode
+from cloverplank.wire.statesvc import Row
+
+from .records import ZoneHealth, ZoneRecord, healthy
+
+
+class ZoneStatus(Struct, frozen=True):
+    """One zone of the deployment."""
+
+    zone: str
+    health: ZoneHealth
+    since_ms: int
+    admitted: int
+    flaps: int
+    evidence: str
+    holder: str | None
+    controllers_there: list[str]
+    readable: bool = True
+
+
+class ZonesStatus(Struct, frozen=True):
+    """All zones."""
+
+    zones: list[ZoneStatus]
+
+    def as_json(self) -> str:
+        """One JSON object with the fields of this type."""
+        return msgspec.json.format(msgspec.json.encode(self)).decode()
+
+    def as_text(self) -> str:
+        """A line a zone."""
+        return "\n".join(_line(zone) for zone in self.zones)
+
+
+def _line(zone: ZoneStatus) -> str:
+    if not zone.readable:
+        return f"{zone.zone}: its record can't be read, which counts as no verdict"
+    parts = [f"{zone.zone}: {zone.health.value}"]
+    if zone.health is ZoneHealth.RECOVERING:
+        parts.append(f"{zone.admitted}% of its machines take new tasks")
+    if zone.flaps:
+        parts.append(f"lost {zone.flaps} times in a row")
+    parts.append(f"holder {zone.holder or 'nobody'}")
+    parts.append(f"controllers there: {', '.join(zone.controllers_there) or 'none'}")
+    if zone.evidence:
+        parts.append(f"last judged on: {zone.evidence}")
+    return "; ".join(parts)
+
+
+def status_of(rows: list[Row], zones: list[str]) -> ZonesStatus:
+    """The status that the rows show, for the zones of the deployment."""
+    records: dict[str, ZoneRecord] = {}
+    holders: dict[str, str] = {}
+    there: dict[str, list[str]] = {}
+    unreadable: set[str] = set()
+    for row in rows:
+        data = bytes(row.value)
+        try:
+            if row.key.startswith(keys.ZONES):
+                records[row.key] = decode(data, ZoneRecord)
+            elif row.key.startswith(keys.BLOCKS):
+                block = decode(data, BlockRecord)
+                holders[block.zone] = block.node
+            elif row.key.startswith(keys.NODES):
+                node = decode(data, NodeRecord)
+                if node.is_there():
+                    there.setdefault(node.zone, []).append(row.key[len(keys.NODES) :])
+        except BadMessage:
+            unreadable.add(row.key)
+    found = []
+    for zone in zones:
+        key = keys.zone(zone)
+        record = records.get(key) or healthy(zone)
+        found.append(
+            ZoneStatus(
+                zone,
+                record.health,
+                record.since,
+                record.admitted,
+                record.flaps,
+                record.evidence,
+                holders.get(zone),
+                sorted(there.get(zone, [])),
+                key not in unreadable,
+            )
+        )
+    return ZonesStatus(found)
+
+
+def read_status(platform: Platform) -> ZonesStatus:
+    """Asks the state service. Raises one of `state.snapshot.NO_ANSWER` where it doesn't answer."""
+    return status_of(read_rows(platform, (keys.ZONES, keys.BLOCKS, keys.NODES)), platform.facts.zones)
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -15,15 +15,17 @@
 import msgspec
 
 from cloverplank.net.client import Client
-from cloverplank.net.messages import Request, Response
+from cloverplank.net.messages import NoAnswer, Request, Response
 from cloverplank.net.server import Server
 
-from ..world.world import PEER, SETTINGS, TEAM, World
+from ..world.world import SETTINGS, TEAM, World
+from .relay import Relay
 
 FRONT, PEERS, STATE, CLOUD, WORKER = 8080, 8081, 2379, 8443, 9000
 STATE_HOST, CLOUD_HOST = 100, 200  # the last number of the stand-ins' addresses; the state service has one a controller
 FIRST_MACHINE_NET, MACHINES_A_NET = 128, 250
 CONNECTIONS = 2000
+RELAY_HOST, RELAY_PORT = 250, 8100
 SAMPLE_S = 0.1
 CLOSING_S = 0.5
 _subnets = count()
@@ -72,7 +74,14 @@
     report_s, lease_s, cancel_s, list_lag_s = 1.0, 5.0, 20.0, 1.0
 
     def __init__(
-        self, seed: int, folder: Path, programs: dict[str, Path], first: str, operator: str = "", controllers: int = 3
+        self,
+        seed: int,
+        folder: Path,
+        programs: dict[str, Path],
+        first: str,
+        operator: str = "",
+        controllers: int = 3,
+        zones: int = 1,
     ) -> None:
         self.folder = folder
         self.programs = programs
@@ -85,7 +94,9 @@
         self.client = Client(CONNECTIONS)
         self.servers: list[asyncio.Server] = []
         self.refused: set[str] = set()  # controllers that the state service alone refuses
-        super().__init__(seed, capacity=40, scale=8.0, controllers=controllers)
+        self.relays: dict[tuple[str, str], Relay] = {}  # by who sends and who is sent to
+        self.cut_zones: set[str] = set()
+        super().__init__(seed, zones=zones, capacity=40, scale=8.0, controllers=controllers)
         self.began = self.now()
 
     # -- addresses
@@ -96,6 +107,10 @@
     def state_address(self, label: str) -> str:
         return f"{self.net}.{STATE_HOST + self.labels.index(label)}:{STATE}"
 
+    def relay_address(self, src: str, dst: str) -> str:
+        number = len(self.labels) * self.labels.index(src) + self.labels.index(dst)
+        return f"{self.net}.{RELAY_HOST}:{RELAY_PORT + number}"
+
     def machine_host(self, number: int) -> str:
         net = self.net.rsplit(".", 1)[0]
         return f"{net}.{FIRST_MACHINE_NET + number // MACHINES_A_NET}.{1 + number % MACHINES_A_NET}"
@@ -107,6 +122,11 @@
         for label in self.labels:
             await self._serve(self.state_address(label), self._state_handler(label))
         await self._serve(f"{self.net}.{CLOUD_HOST}:{CLOUD}", self._cloud)
+        for src in self.labels:
+            for dst in self.labels:
+                if src != dst:
+                    relay = self.relays[src, dst] = Relay(f"{self.net}.{1 + self.labels.index(dst)}:{PEERS}")
+                    self.servers.append(await relay.listen(self.relay_address(src, dst)))
         self.spawn(self._watch_replicas())
 
     async def _serve(self, address: str, handler) -> asyncio.Server:  # noqa: ANN001
@@ -117,6 +137,7 @@
 
     def _state_handler(self, label: str):  # noqa: ANN202
         async def handle(request: Request) -> Response:
+            await self._while_cut(label)
             self.state.shut_out = self.refused
             path = request.path + ("?" + request.query if request.query else "")
             status, value = await self.state.handle(label, request.method, path, request.body)
@@ -138,6 +159,8 @@
 
     async def _serve_machine(self, machine) -> None:  # noqa: ANN001
         async def handle(request: Request) -> Response:
+            if request.method == "POST" and self._is_from_outside(machine, request.body):
+                await self._while_cut_zone(machine.zone)
             status, value = await machine.orders(request.body) if request.method == "POST" else (200, machine.report())
             return Response(status, msgspec.msgpack.encode(value))
 
@@ -149,11 +172,44 @@
     async def send(self, src, addr, method, path, body=None, timeout=2.0) -> Response:  # noqa: ANN001
         """Requests of users and workers to a controller's front."""
         label = addr.removeprefix("front:")
+        if src in self.machines and self._is_apart(self.machines[src].zone, self.home[label]):
+            await asyncio.sleep(timeout)
+            raise NoAnswer("cut")
         response = await self.client.request(self.front(label), method, path, body, timeout)
         if path == "/v1/report" and response.status == 200:
             self.rules.ordered(label, msgspec.msgpack.decode(response.body)["orders"])
         return response
 
+    # -- zones that are cut off
+
+    def cut_zone(self, zone: str) -> None:
+        """Its controllers and machines reach one another and nobody else."""
+        self.cut_zones.add(zone)
+        for (src, dst), relay in self.relays.items():
+            if self._is_apart(self.home[src], self.home[dst]):
+                relay.cut()
+
+    def heal_zones(self) -> None:
+        self.cut_zones.clear()
+        for relay in self.relays.values():
+            relay.heal()
+
+    def _is_apart(self, one: str, other: str) -> bool:
+        return one != other and bool({one, other} & self.cut_zones)
+
+    async def _while_cut(self, label: str) -> None:
+        await self._while_cut_zone(self.home[label])
+
+    async def _while_cut_zone(self, zone: str) -> None:
+        while zone in self.cut_zones:
+            await asyncio.sleep(SAMPLE_S)
+
+    def _is_from_outside(self, machine, body: bytes) -> bool:  # noqa: ANN001
+        """Orders name their sender by the token alone: the newest grant of the zone is of a controller outside."""
+        token = msgspec.msgpack.decode(body)["baton"]
+        found = self.state.items.get(f"cp/block/{machine.zone}")
+        return found is not None and token == found[1] and self._is_apart(machine.zone, self.home[found[0]["node"]])
+
     # -- controllers
 
     def start(self, label: str) -> None:
@@ -177,8 +233,9 @@
 
     def _settings(self, label: str) -> str:
         peers = "".join(
-            PEER.format(label=other, zone=self.home[other], number=n + 1)
-            for n, other in enumerate(self.labels)
+            f'[[peers]]\nlabel = "{other}"\nlocation = "{self.home[other]}"\n'
+            f'peer_addr = "{self.relay_address(label, other)}"\n'
+            for other in self.labels
             if other != label
         )
         teams = "".join(TEAM.format(name=n, cpus=m / 2, most=m) for n, m in self.limits.items())
@@ -190,7 +247,6 @@
         return (
             text.replace("10.0.0.1:8080", f"{self.net}.{number}:{FRONT}")
             .replace('peer_listen = "10.0.0.1:8081"', f'peer_listen = "{self.net}.{number}:{PEERS}"')
-            .replace("10.0.0.", f"{self.net}.")
             .replace("10.2.0.2:8443", f"{self.net}.{CLOUD_HOST}:{CLOUD}")
             .replace("10.2.0.1:2379", self.state_address(label))
             .replace("report_s = 2.0", f"report_s = {self.report_s}")
