--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -11,9 +11,10 @@
 from cloverplank.api.users import JOBS_PATH, Users
 from cloverplank.api.waiting_jobs import WaitingJobAnswers
 from cloverplank.basic_types import Clock, FencingToken, JobId, Mono, NodeId, Zone
+from cloverplank.fleet.block_types import Limits
 from cloverplank.fleet.cloud import Cloud, CloudDown
 from cloverplank.fleet.dependency_sweep import DependencySweep
-from cloverplank.fleet.holder import Block, Limits
+from cloverplank.fleet.holder import Block
 from cloverplank.fleet.leader import Leader
 from cloverplank.fleet.own_blocks import OwnBlocks
 from cloverplank.fleet.peer_hints import PeerHints
@@ -48,6 +49,8 @@
 from cloverplank.wire.statesvc import Commit, Condition, Put
 from cloverplank.wire.users import ErrorAnswer
 from cloverplank.wire.workers import REPORT_PATH
+from cloverplank.zones.observation import ZoneObserver
+from cloverplank.zones.watch import ZoneWatch
 
 log = logging.getLogger("cloverplank.controller")
 
@@ -196,6 +199,18 @@
             state_limits, self.zones, self.session, self.client, self.mirror, self.queue, self.hints.need_of
         )
         self.cloud = Cloud(http, platform.outside.cloud, clock, facts.cloud.rps)
+        homes = {NodeId(platform.label): Zone(platform.location)}
+        homes |= {NodeId(peer.label): Zone(peer.location) for peer in platform.peers}
+        self.zone_watch = ZoneWatch(
+            self.zones,
+            operator.zones,
+            clock,
+            self.session,
+            self.mirror,
+            self.queue,
+            self.committed,
+            ZoneObserver(self.zones, homes, self.roster, clock, workers.report_s),
+        )
         self.leader = Leader(
             platform,
             operator,
@@ -242,7 +257,7 @@
         if view is not None:
             self.headroom.saw(view.record)
             for block in self.blocks.values():
-                block.job_changed(view)
+                block.orders.job_changed(view)
         self.request_round()
 
     def _key_changed(self, key: str) -> None:
@@ -362,14 +377,15 @@
             return
         yield
         self._note_own()
-        turns = self.turns()
+        plan = self.zone_watch.plan(self.targets.time_left)
+        turns = plan.arrange(self.turns())
         if leads:
             with self._meter.section(Part.LEADER_ROUND):
-                self.leader.round(turns)
+                self.leader.round(turns, plan)
         for block in list(self.blocks.values()):
             yield
             with self._meter.section(Part.PLACEMENT):
-                block.place(turns, self.headroom)
+                block.place(turns, self.headroom, plan)
             yield
             with self._meter.section(Part.PACKING):
                 block.pack(self.headroom)
@@ -383,6 +399,7 @@
                     await self.session.seek_leadership()
                     await self.leader.grants.grant_blocks()
                     await self.rollout.tend()
+                    await self.zone_watch.tend()
                     for block in list(self.blocks.values()):
                         await self.own.tend(block, self._peers_are_well())
                 self.shares.update()
