--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -11,7 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverplank.basic_types import MachineId, WallMs, Zone
+from cloverplank.basic_types import Clock, MachineId, WallMs, Zone
+from cloverplank.fleet.roster import Known, Roster
 from cloverplank.jobs.placing import Turn, in_order
 from cloverplank.jobs.records import Eviction, JobRecord
 from cloverplank.settings.operator import Operator
@@ -20,6 +21,7 @@
 from cloverplank.state import keys
 from cloverplank.zones import health
 from cloverplank.zones.health import ADMISSION_STEPS, LONGEST_QUIET_MS, Evidence, Observation, Pace
+from cloverplank.zones.observation import ZoneObserver
 from cloverplank.zones.plan import LONGEST_WITHHELD_S, ClassOrder, Importance, PlanLimits, StartPace, ZonePlan
 from cloverplank.zones.records import WHOLE, ZoneHealth, ZoneRecord, healthy
 
@@ -481,3 +483,37 @@
         _, watched = play(scenario, 88)
     assert "cp/zone/zone-1 can't be read" in caplog.text
     assert watched.healths("zone-1")[-1] == "healthy"
+
+
+def test_a_third_of_thousands_of_machines_goes_and_comes_back_at_once() -> None:
+    """One commit for each change of state, whatever the number of machines; a takeover begins its evidence anew."""
+    now = [1_000.0]
+    clock = Clock(lambda: now[0], lambda: 1.7e9 + now[0])
+    roster = Roster(clock)
+    zones = [Zone(f"zone-{number}") for number in range(3)]
+    for number in range(4_000):
+        name = MachineId(f"m-{number:06d}")
+        roster.known[name] = Known(name, zones[number % 3], "", "t", False, "running", health="up")
+    observer = ZoneObserver(zones, {}, roster, clock, 2.0)
+    records = {zone: healthy(zone) for zone in zones}
+    commits: list[ZoneRecord] = []
+
+    def pass_seconds(seconds: int, silent: Zone | None) -> None:
+        for _ in range(seconds):
+            now[0] += 1.0
+            for known in roster.known.values():
+                if known.zone != silent:
+                    known.heard_at = clock.mono()
+            for zone, seen in observer.look([]).items():
+                after = health.next_record(records[zone], seen, PACE, clock.wall())
+                if after is not None:
+                    records[zone] = after
+                    commits.append(after)
+
+    pass_seconds(10, None)
+    pass_seconds(8, zones[2])
+    assert [record.health for record in commits] == ["lost"]
+    observer.forget()
+    pass_seconds(20, None)
+    assert [record.admitted for record in commits] == [0, *ADMISSION_STEPS, WHOLE]
+    assert {record.zone for record in commits} == {"zone-2"} and commits[-1].health == "healthy"
