--- a/src/cloverplank/controller.py
+++ b/src/cloverplank/controller.py
@@ -45,6 +45,7 @@
 from cloverplank.state.queue import CommitQueue, Full, Urgency
 from cloverplank.state.session import Session, Standing
 from cloverplank.state.shares import RateShares, first_watch_gap
+from cloverplank.suspicion.watch import SuspicionWatch
 from cloverplank.wire.cloud import MachineType, MachineTypes
 from cloverplank.wire.statesvc import Commit, Condition, Put
 from cloverplank.wire.users import ErrorAnswer
@@ -226,6 +227,24 @@
             self.targets,
             self.returning,
         )
+        self.suspicion = SuspicionWatch(
+            operator.suspicion,
+            [NodeId(peer.label) for peer in platform.peers],
+            self.zones,
+            clock,
+            self.session,
+            self.mirror,
+            self.queue,
+            self.committed,
+            self.leader.grants,
+            self._workers_of,
+            self.hints.tell_everybody,
+        )
+        if self.suspicion.on:
+            self.hints.on_hint = self.suspicion.heard
+            self.hints.on_asked = self.suspicion.asked
+            self.hints.suspects = self.suspicion.suspects
+            self.hints.incarnation = lambda: self.suspicion.incarnation
         self.dependency_sweep = DependencySweep(clock, self.session, self.mirror, self.queue, self.fresh)
         waiting_jobs = WaitingJobAnswers(clock, self.mirror, self.queue, self.fresh, workers.cancel_s)
         submissions = Submissions(
@@ -400,6 +419,7 @@
                     await self.leader.grants.grant_blocks()
                     await self.rollout.tend()
                     await self.zone_watch.tend()
+                    await self.suspicion.tend()
                     for block in list(self.blocks.values()):
                         await self.own.tend(block, self._peers_are_well())
                 self.shares.update()
@@ -407,6 +427,11 @@
                 log.exception("governing failed")
             await asyncio.sleep(0.1 + 0.05 * self._chance.random())
 
+    def _workers_of(self, zone: Zone, since: Mono) -> tuple[int, int]:
+        """Workers of a zone that were up lately, and those that have asked here since then."""
+        known = sum(one.zone == zone and one.heard_at is not None for one in self.roster.known.values())
+        return known, self.hints.workers_asking(zone, since)
+
     def _peers_are_well(self) -> bool:
         latest = self.hints.all_latest(WELL_PEER_S).values()
         return any(hint.state_ok and not hint.declines_grants for hint in latest)
@@ -443,4 +468,5 @@
             self._meter.metered(Part.HINTS, self.hints.run()),
             self._meter.metered(Part.RENTING, self.leader.run()),
             self.dependency_sweep.run(),
+            self.suspicion.run(),
         )
--- a/src/cloverplank/fleet/grants.py
+++ b/src/cloverplank/fleet/grants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from msgspec import Struct
 
@@ -36,6 +37,8 @@
     roles: int  # leadership and blocks that it has
     heard: int  # workers of the zone that ask it
 
+    damped: bool = False  # a block was taken from it lately
+
     def preference(self) -> tuple[bool, bool, int, int, NodeId]:
         """The greatest is granted the block of a small machine."""
         return self.in_zone, self.well, -self.roles, self.heard, self.node
@@ -65,6 +68,7 @@
         self._mirror = mirror
         self._queue = queue
         self._peers = peers
+        self.is_damped: Callable[[NodeId], bool] = lambda node: False  # it gets a block only if nobody else does
         self._led: Stamp | None = None
         self._led_since = Mono(0.0)
 
@@ -105,7 +109,7 @@
         best: Candidate | None = None
         for name, (record, stamp) in self._mirror.under(keys.NODES, NodeRecord).items():
             candidate = self._as_candidate(zone, NodeId(name), record, stamp, now)
-            if candidate is not None and (best is None or self._preference(candidate) > self._preference(best)):
+            if candidate is not None and (best is None or self._order(candidate) > self._order(best)):
                 best = candidate
         if best is None:
             return None
@@ -120,6 +124,23 @@
             return None
         return best.node, best.record, best.stamp
 
+    def replacement(self, zone: Zone, former: NodeId) -> Candidate | None:
+        """Who takes over a block from a controller that is judged faulty: one that is well."""
+        now = self._clock.mono()
+        best: Candidate | None = None
+        for name, (record, stamp) in self._mirror.under(keys.NODES, NodeRecord).items():
+            if name == former:
+                continue
+            candidate = self._as_candidate(zone, NodeId(name), record, stamp, now)
+            if candidate is None or not candidate.well or candidate.damped:
+                continue
+            if best is None or self._preference(candidate) > self._preference(best):
+                best = candidate
+        return best
+
+    def _order(self, candidate: Candidate) -> tuple[bool, tuple]:
+        return not candidate.damped, self._preference(candidate)
+
     def _preference(self, candidate: Candidate) -> tuple[bool, bool, int, int, NodeId]:
         if self._apart:
             return candidate.preference()
@@ -145,10 +166,11 @@
         if node == self._session.me:
             if now < self._session.declines_grants_until:
                 return None
-            return Candidate(node, record, stamp, in_zone, True, roles + 1, 0)
+            return Candidate(node, record, stamp, in_zone, True, roles + 1, 0, self.is_damped(node))
         hint, at = self._peers.get(node, (None, Mono(-1e9)))
         if hint is None or now - at >= HINT_FRESH_S:
-            return Candidate(node, record, stamp, in_zone, False, roles, 0)
+            return Candidate(node, record, stamp, in_zone, False, roles, 0, self.is_damped(node))
         if hint.declines_grants:
             return None
-        return Candidate(node, record, stamp, in_zone, now - at < HINT_WELL_S, roles, hint.heard.get(zone, 0))
+        well = now - at < HINT_WELL_S
+        return Candidate(node, record, stamp, in_zone, well, roles, hint.heard.get(zone, 0), self.is_damped(node))
--- a/src/cloverplank/fleet/peer_hints.py
+++ b/src/cloverplank/fleet/peer_hints.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
 
 from cloverplank.basic_types import Clock, JobId, Mono, NodeId, Zone
 from cloverplank.jobs.store import JobStore
-from cloverplank.net.messages import Http, NoAnswer, Request, Response, answer
-from cloverplank.settings.platform import Platform
+from cloverplank.net.messages import Http, NoAnswer, NoRoom, Request, Response, answer
+from cloverplank.settings.platform import Peer, Platform
 from cloverplank.state.client import StateClient
 from cloverplank.state.queue import CommitQueue
 from cloverplank.state.session import Session
 from cloverplank.wire.codec import BadMessage, decode, encode
-from cloverplank.wire.peers import HINT_PATH, Hint, MachineHint
+from cloverplank.wire.peers import HINT_PATH, Hint, MachineHint, SuspectHint
 from cloverplank.wire.users import ErrorAnswer, valid_job_id
 
 from .holder import Block
@@ -65,6 +64,10 @@
         self._store = store
         self._roster = roster
         self._blocks = blocks
+        self.on_hint: Callable[[Hint], None] = lambda hint: None
+        self.on_asked: Callable[[NodeId, bool], None] = lambda node, answered: None
+        self.incarnation: Callable[[], int] = lambda: 0
+        self.suspects: Callable[[], list[SuspectHint]] = list
         self.received: dict[NodeId, tuple[Hint, Mono]] = {}
         self._heard: dict[str, dict[str, Mono]] = {zone: {} for zone in platform.facts.zones}
         self._cancellations: dict[JobId, Mono] = {}  # committed here lately
@@ -123,6 +126,7 @@
     def _take(self, hint: Hint) -> None:
         now = self._clock.mono()
         self.received[NodeId(hint.node)] = (hint, now)
+        self.on_hint(hint)
         for job in hint.cancelled[:MAX_CANCELLED]:
             if valid_job_id(job):
                 self._store.hint_cancelled(JobId(job), now)
@@ -161,14 +165,12 @@
         body = encode(self._own())
         for peer in self._platform.peers:
             if peer.label == leader[0].node:
-                self._spawn(self._send(peer.peer_addr, [body]))
+                self._spawn(self._send(peer, [body]))
 
     async def _tell_cancelled(self) -> None:
         await asyncio.sleep(GATHER_CANCELLED_S)
         self._telling = False
-        body = encode(self._own())
-        for peer in self._platform.peers:
-            self._spawn(self._send(peer.peer_addr, [body]))
+        self.tell_everybody()
 
     def _own(self) -> Hint:
         """The own hint without machines."""
@@ -183,6 +185,8 @@
             now < self._session.declines_grants_until,
             self._queue.need(),
             [job for job, at in self._cancellations.items() if now - at <= TELL_CANCELLED_S],
+            self.incarnation(),
+            self.suspects(),
         )
 
     def own_machines(self) -> list[MachineHint]:
@@ -229,12 +233,29 @@
         ]
         short = [encode(hint)]
         for peer in self._platform.peers:
-            self._spawn(self._send(peer.peer_addr, parts if peer.label in full else short))
+            self._spawn(self._send(peer, parts if peer.label in full else short))
 
-    async def _send(self, addr: str, bodies: list[bytes]) -> None:
-        with contextlib.suppress(NoAnswer):
+    def tell_everybody(self) -> None:
+        """News of this controller that is not to wait for the next hint."""
+        body = encode(self._own())
+        for peer in self._platform.peers:
+            self._spawn(self._send(peer, [body]))
+
+    def workers_asking(self, zone: str, since: Mono) -> int:
+        """Workers of the zone that have asked here since then."""
+        return sum(at >= since for at in self._heard.get(zone, {}).values())
+
+    async def _send(self, peer: Peer, bodies: list[bytes]) -> None:
+        node = NodeId(peer.label)
+        try:
             for body in bodies:
-                await self._http.request(addr, "POST", HINT_PATH, body, SEND_S)
+                await self._http.request(peer.peer_addr, "POST", HINT_PATH, body, SEND_S)
+        except NoRoom:
+            return  # for want of a socket of our own: says nothing of the peer
+        except NoAnswer:
+            self.on_asked(node, False)
+        else:
+            self.on_asked(node, True)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/src/cloverplank/rollout/gates.py
+++ b/src/cloverplank/rollout/gates.py
@@ -59,7 +59,15 @@
     writes=frozenset({Shape.PLAIN}),
     schemas=frozenset({"ZoneRecord"}),
 )
-FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS, STAGED_ROLLOUT, ZONE_HEALTH)
+SUSPICION = Feature(
+    "suspicion",
+    1,
+    Stage.OWN_KEYS,
+    reads=frozenset({Shape.PLAIN}),
+    writes=frozenset({Shape.PLAIN}),
+    schemas=frozenset({"VerdictRecord"}),
+)
+FEATURES: tuple[Feature, ...] = (COMPACT_RECORDS, JOB_CHAINS, STAGED_ROLLOUT, ZONE_HEALTH, SUSPICION)
 
 OLDEST_VERSION = 0  # the lowest cluster version that this program reads
 NEWEST_VERSION = max(feature.version for feature in FEATURES)
--- a/src/cloverplank/schemas.py
+++ b/src/cloverplank/schemas.py
@@ -18,6 +18,7 @@
 from cloverplank.jobs.records import FinalRecord, JobRecord, WaitingRecord
 from cloverplank.rollout.records import FormatRecord, RolloutRecord
 from cloverplank.state.keys import BlockRecord, LeaderRecord, NodeRecord, RentalRecord, ReturnRecord
+from cloverplank.suspicion.verdicts import VerdictRecord
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.peers import Hint
 from cloverplank.zones.records import ZoneRecord
@@ -35,6 +36,7 @@
     RentalRecord,
     ReturnRecord,
     RolloutRecord,
+    VerdictRecord,
     WaitingRecord,
     ZoneRecord,
 )
--- a/src/cloverplank/settings/operator.py
+++ b/src/cloverplank/settings/operator.py
@@ -15,8 +15,10 @@
 from cloverplank.rollout.gates import NEWEST_VERSION
 from cloverplank.settings import BadSettings
 from cloverplank.settings import rollout as rollout_settings
+from cloverplank.settings import suspicion as suspicion_settings
 from cloverplank.settings import zones as zone_settings
 from cloverplank.settings.rollout import RolloutSettings
+from cloverplank.settings.suspicion import SuspicionSettings
 from cloverplank.settings.zones import ZoneSettings
 
 
@@ -104,6 +106,7 @@
     zone_weights: dict[str, float] = field(default_factory=dict)
     rollout: RolloutSettings = field(default_factory=RolloutSettings)
     zones: ZoneSettings = field(default_factory=ZoneSettings)
+    suspicion: SuspicionSettings = field(default_factory=SuspicionSettings)
 
     def __getattr__(self, name: str) -> float:
         try:
@@ -131,6 +134,7 @@
             lines.append(f'zone_weight {{ zone: "{zone}" weight: {weight:g} }}')
         lines += self.rollout.text()
         lines += self.zones.text()
+        lines += self.suspicion.text()
         return "\n".join(lines) + "\n"
 
 
@@ -154,7 +158,8 @@
         operator.field.add(name=setting.name, number=number, type=kinds.TYPE_DOUBLE, label=kinds.LABEL_OPTIONAL)
     rollout_settings.declare(file, kinds)
     zone_settings.declare(file, kinds)
-    for number, name in enumerate(("rollout", "zones"), start=len(TABLE) + 2):
+    suspicion_settings.declare(file, kinds)
+    for number, name in enumerate(("rollout", "zones", "suspicion"), start=len(TABLE) + 2):
         operator.field.add(
             name=name,
             number=number,
@@ -198,7 +203,8 @@
             raise BadSettings(f"zone_weight: {entry.zone} is given twice")
         weights[entry.zone] = entry.weight
     rollout = rollout_settings.from_message(message.rollout, NEWEST_VERSION)
-    return Operator(values, weights, rollout, zone_settings.from_message(message.zones))
+    zones = zone_settings.from_message(message.zones)
+    return Operator(values, weights, rollout, zones, suspicion_settings.from_message(message.suspicion))
 
 
 def read_operator(path: Path | None) -> Operator:
--- a/src/cloverplank/state/keys.py
+++ b/src/cloverplank/state/keys.py
@@ -19,6 +19,7 @@
 FORMAT = "cp/format"  # the cluster version as announced to programs that don't read ROLLOUT
 ROLLOUT = "cp/rollout"
 ZONES = "cp/zone/"
+VERDICTS = "cp/verdict/"
 
 
 def node(label: str) -> str:
@@ -29,6 +30,10 @@
     return BLOCKS + zone.replace(" ", "_")
 
 
+def verdict(label: str) -> str:
+    return VERDICTS + label
+
+
 def zone(name: str) -> str:
     return ZONES + name.replace(" ", "_")
 
--- a/src/cloverplank/state/mirror.py
+++ b/src/cloverplank/state/mirror.py
@@ -17,6 +17,7 @@
 from cloverplank.jobs.store import JobStore
 from cloverplank.jobs.waiting import WaitingJobs
 from cloverplank.rollout.records import FormatRecord, RolloutRecord
+from cloverplank.suspicion.verdicts import VerdictRecord
 from cloverplank.wire.cloud import MachineTypes
 from cloverplank.wire.codec import BadMessage, decode
 from cloverplank.wire.statesvc import Change
@@ -40,6 +41,7 @@
     (keys.ROLLOUT, RolloutRecord),
     (keys.NODES, NodeRecord),
     (keys.ZONES, ZoneRecord),
+    (keys.VERDICTS, VerdictRecord),
     (keys.BLOCKS, BlockRecord),
     (keys.RENTALS, RentalRecord),
     (keys.RETURNS, ReturnRecord),
--- /dev/null
+++ b/src/cloverplank/suspicion/verdicts.py
@@ -0,0 +1,97 @@
+"""When a suspected controller is judged faulty: pure decisions over typed evidence."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from cloverplank.basic_types import Mono, NodeId
+
+OPINION_FRESH_S = 3.0  # what another peer said of it longer ago does not count
+WORKERS_SHARE = 0.5  # of a zone's workers that have to ask elsewhere
+LEAST_WORKERS = 3  # fewer ask elsewhere by chance
+
+
+class PeerState(Enum):
+    """What this controller thinks of a peer."""
+
+    ALIVE = "alive"
+    SUSPECTED = "suspected"
+    FAULTY = "faulty"
+
+
+class Levels(Struct, frozen=True):
+    """From which level of suspicion on a peer is suspected, and may be judged faulty."""
+
+    suspect: float
+    faulty: float
+
+
+class Opinion(Struct, frozen=True):
+    """What another peer says: it suspects that incarnation."""
+
+    observer: NodeId
+    incarnation: int
+    at: Mono
+
+
+class Evidence(Struct, frozen=True):
+    """All that is known of one suspected peer."""
+
+    level: float
+    incarnation: int
+    unanswering: bool  # our last question to it got no answer
+    opinions: tuple[Opinion, ...]
+    other_observers: int  # peers that are well and could have an opinion
+    workers: int  # of its zones, heard by anybody lately
+    workers_elsewhere: int  # of these, those that asked us since it fell silent
+
+
+class VerdictRecord(Struct, frozen=True):
+    """A committed verdict: written by the commit that hands over, so each is carried out once."""
+
+    node: str
+    incarnation: Annotated[int, Meta(ge=0)]
+    at: int  # time of day, ms
+    count: Annotated[int, Meta(ge=0)]  # verdicts on this controller, of which each came soon after the one before
+    zone: str  # the block that was handed over
+    to: str
+    why: str
+
+
+def state_of(evidence: Evidence, levels: Levels, now: Mono) -> PeerState:
+    """Suspected by its silence alone; faulty on clear evidence of more than one observer."""
+    if evidence.level < levels.suspect:
+        return PeerState.ALIVE
+    if evidence.level < levels.faulty or not evidence.unanswering:
+        return PeerState.SUSPECTED
+    return PeerState.FAULTY if _confirmed(evidence, now) else PeerState.SUSPECTED
+
+
+def _confirmed(evidence: Evidence, now: Mono) -> bool:
+    agreeing = {
+        opinion.observer
+        for opinion in evidence.opinions
+        if opinion.incarnation >= evidence.incarnation and now - opinion.at < OPINION_FRESH_S
+    }
+    if evidence.other_observers and 2 * len(agreeing) > evidence.other_observers:
+        return True
+    # Two controllers alone, or others that can't say: the workers decide whom third parties reach.
+    most_left = evidence.workers_elsewhere >= max(LEAST_WORKERS, WORKERS_SHARE * evidence.workers)
+    return most_left and not (evidence.other_observers and not agreeing)
+
+
+def most_look_faulty(suspected: int, peers: int) -> bool:
+    """Rather our own link than theirs."""
+    return peers > 1 and 2 * suspected > peers
+
+
+def why(evidence: Evidence) -> str:
+    """One line for log and record."""
+    return (
+        f"silent for {evidence.level:.1f} usual intervals, no answer, "
+        f"{len(evidence.opinions)} of {evidence.other_observers} other controllers suspect it, "
+        f"{evidence.workers_elsewhere} of {evidence.workers} workers ask elsewhere"
+    )
--- /dev/null
+++ b/src/cloverplank/suspicion/watch.py
@@ -0,0 +1,228 @@
+"""What this controller knows of its peers, and as leader the handover of what a faulty one holds."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from cloverplank.basic_types import Clock, FencingToken, Mono, NodeId, Stamp, WallMs, Zone
+from cloverplank.fleet.grants import Grants
+from cloverplank.rollout.committed import CommittedRollout
+from cloverplank.rollout.gates import SUSPICION
+from cloverplank.settings.suspicion import SuspicionSettings
+from cloverplank.state import keys
+from cloverplank.state.client import Lost, Refused, Unknown
+from cloverplank.state.keys import BlockRecord
+from cloverplank.state.mirror import Mirror
+from cloverplank.state.queue import CommitQueue, Full, Urgency
+from cloverplank.state.session import Session
+from cloverplank.wire.peers import Hint, SuspectHint
+from cloverplank.wire.statesvc import Commit, Condition, Put
+
+from . import verdicts
+from .detector import PeerDetector
+from .verdicts import Evidence, Levels, Opinion, PeerState, VerdictRecord
+
+log = logging.getLogger("cloverplank.suspicion")
+
+LOOK_S = 0.1  # between two looks at all peers
+OWN_LAG_S = 0.25  # a look that is later than this shows that this controller itself was paused
+MOST_SUSPECTS = 50  # taken from one hint: a bound on memory
+BETWEEN_HANDOVERS_S = 2.0
+MOST_DOUBLINGS = 6
+AGAIN_MS = 600_000  # a verdict within this time after the one before counts up
+WORKERS_FRESH_S = 4.0  # reports of workers that ask here, no older
+MS_A_SECOND = 1000
+WorkersOf = Callable[[Zone, Mono], tuple[int, int]]
+
+
+class SuspicionWatch:
+    """Switched off, it keeps nothing and decides nothing.
+
+    `workers_of`: of a zone, the workers that anybody heard lately, and those that asked here since a moment.
+    """
+
+    def __init__(
+        self,
+        settings: SuspicionSettings,
+        peers: Iterable[NodeId],
+        zones: list[Zone],
+        clock: Clock,
+        session: Session,
+        mirror: Mirror,
+        queue: CommitQueue,
+        committed: CommittedRollout,
+        grants: Grants,
+        workers_of: WorkersOf,
+        tell_peers: Callable[[], None],
+    ) -> None:
+        self.on = settings.enabled
+        self._levels = Levels(settings.suspect_level, settings.faulty_level)
+        self._damp_ms = int(settings.damp_s * MS_A_SECOND)
+        self._zones = zones
+        self._clock = clock
+        self._session = session
+        self._mirror = mirror
+        self._queue = queue
+        self._committed = committed
+        self._grants = grants
+        self._workers_of = workers_of
+        self._tell_peers = tell_peers
+        now = clock.mono()
+        self._peers = {node: PeerDetector(now) for node in peers} if self.on else {}
+        self._opinions: dict[NodeId, dict[NodeId, Opinion]] = {node: {} for node in self._peers}
+        self._states: dict[NodeId, PeerState] = dict.fromkeys(self._peers, PeerState.ALIVE)
+        self._evidence: dict[NodeId, Evidence] = {}
+        self._handed_over_at = Mono(-1e9)
+        self.incarnation = clock.wall() if self.on else 0
+        if self.on:
+            grants.is_damped = self.is_damped
+
+    # -- what comes in
+
+    def heard(self, hint: Hint) -> None:
+        """A hint of a peer: a sign of life of its own, and its opinion of others."""
+        detector = self._peers.get(NodeId(hint.node))
+        if detector is None:
+            return
+        now = self._clock.mono()
+        detector.heard(now, hint.incarnation)
+        observer = NodeId(hint.node)
+        for known in self._opinions.values():
+            known.pop(observer, None)
+        for suspect in hint.suspects[:MOST_SUSPECTS]:
+            if suspect.node == self._session.me:
+                self._refute(suspect)
+            elif NodeId(suspect.node) in self._opinions and suspect.node != hint.node:
+                self._opinions[NodeId(suspect.node)][observer] = Opinion(observer, suspect.incarnation, now)
+
+    def asked(self, node: NodeId, answered: bool) -> None:
+        """A request to a peer was answered, or not."""
+        detector = self._peers.get(node)
+        if detector is not None:
+            detector.asked(self._clock.mono(), answered)
+
+    def _refute(self, suspect: SuspectHint) -> None:
+        """Others suspect this process: a later incarnation says that it is alive."""
+        if suspect.incarnation >= self.incarnation:
+            self.incarnation = suspect.incarnation + 1
+            self._tell_peers()
+
+    # -- what goes out
+
+    def suspects(self) -> list[SuspectHint]:
+        """What this controller tells its peers."""
+        return [
+            SuspectHint(node, self._peers[node].incarnation)
+            for node, state in self._states.items()
+            if state is not PeerState.ALIVE
+        ]
+
+    def is_damped(self, node: NodeId) -> bool:
+        """It was handed over from, and gets nothing back until it has been well for a while that grows."""
+        found = self._mirror.value(keys.verdict(node), VerdictRecord)
+        if found is None:
+            return False
+        wait_ms = self._damp_ms * 2 ** min(MOST_DOUBLINGS, max(0, found[0].count - 1))
+        return self._clock.wall() - found[0].at < wait_ms or self._states.get(node) not in (None, PeerState.ALIVE)
+
+    # -- looks
+
+    async def run(self) -> None:
+        """Looks at every peer, for ever. A loop of its own, so that its lateness is this controller's lag alone."""
+        looked_at = self._clock.mono()
+        while self.on:
+            await asyncio.sleep(LOOK_S)
+            now = self._clock.mono()
+            self._look(now, now - looked_at - LOOK_S)
+            looked_at = now
+
+    def _look(self, now: Mono, lag_s: float) -> None:
+        if lag_s > OWN_LAG_S:
+            for detector in self._peers.values():
+                detector.pardon(lag_s)
+        self._evidence = {node: self._gather(node, now) for node in self._peers}
+        moved = [
+            self._move(node, verdicts.state_of(seen, self._levels, now), seen) for node, seen in self._evidence.items()
+        ]
+        if any(moved):
+            self._tell_peers()
+
+    async def tend(self) -> None:
+        """The leader hands over what a faulty peer holds."""
+        if not self.on:
+            return
+        leader = self._session.leads()
+        if leader is not None and self._committed.current().version >= SUSPICION.version:
+            await self._hand_over(leader, self._clock.mono())
+
+    def _move(self, node: NodeId, state: PeerState, seen: Evidence) -> bool:
+        before = self._states[node]
+        if state is before:
+            return False
+        self._states[node] = state
+        log.info("peer %s: %s -> %s: %s", node, before.value, state.value, verdicts.why(seen))
+        return True
+
+    def _gather(self, node: NodeId, now: Mono) -> Evidence:
+        detector = self._peers[node]
+        level = detector.level(now)
+        others = [other for other in self._peers if other != node and self._states[other] is PeerState.ALIVE]
+        workers = elsewhere = 0
+        if level >= self._levels.suspect:
+            since = Mono(now - min(detector.silent_s(now), WORKERS_FRESH_S))
+            for zone in self._zones:
+                if self._session.holder(zone) == node:
+                    known, asked = self._workers_of(zone, since)
+                    workers, elsewhere = workers + known, elsewhere + asked
+        opinions = tuple(opinion for opinion in self._opinions[node].values() if opinion.observer in others)
+        return Evidence(
+            level, detector.incarnation, detector.is_unanswering(), opinions, len(others), workers, elsewhere
+        )
+
+    # -- the leader
+
+    async def _hand_over(self, leader: Stamp, now: Mono) -> None:
+        suspected = sum(state is not PeerState.ALIVE for state in self._states.values())
+        if verdicts.most_look_faulty(suspected, len(self._peers)) or now - self._handed_over_at < BETWEEN_HANDOVERS_S:
+            return
+        for zone in self._zones:
+            held = self._mirror.value(keys.block(zone), BlockRecord)
+            if held is None or self._states.get(NodeId(held[0].node)) is not PeerState.FAULTY:
+                continue
+            self._handed_over_at = now
+            node = NodeId(held[0].node)
+            await self._commit(leader, zone, node, held[1], self._evidence[node])
+            return
+
+    async def _commit(self, leader: Stamp, zone: Zone, node: NodeId, grant: Stamp, seen: Evidence) -> None:
+        """One commit on the old grant's stamp: whoever sends it, and however late, it is carried out once."""
+        chosen = self._grants.replacement(zone, node)
+        if chosen is None:
+            return
+        key = keys.verdict(node)
+        verdict = self._verdict(node, zone, chosen.node, seen)
+        conditions = [
+            Condition(keys.LEADER, leader),
+            Condition(keys.block(zone), grant),
+            Condition(keys.node(chosen.node), chosen.stamp),
+            Condition(key, self._mirror.any_stamp(key)),
+        ]
+        block = BlockRecord(zone, chosen.node, chosen.record.lease)
+        changes: list = [Put(keys.block(zone), block, chosen.record.lease), Put(key, verdict)]
+        try:
+            answer = await self._queue.commit(Commit(conditions, changes), Urgency.LEASE, once=True)
+        except (Lost, Full, Refused, Unknown) as err:
+            log.debug("handover of %s from %s: %s", zone, node, err)
+            return
+        if not answer.failed:
+            token = FencingToken(answer.revision)
+            log.info("handover: block %s from %s to %s, token %d: %s", zone, node, chosen.node, token, verdict.why)
+
+    def _verdict(self, node: NodeId, zone: Zone, to: NodeId, seen: Evidence) -> VerdictRecord:
+        now: WallMs = self._clock.wall()
+        before = self._mirror.value(keys.verdict(node), VerdictRecord)
+        again = before is not None and now - before[0].at < AGAIN_MS
+        count = 1 + (before[0].count if before is not None and again else 0)
+        return VerdictRecord(node, seen.incarnation, now, count, zone, to, verdicts.why(seen))
--- a/src/cloverplank/wire/peers.py
+++ b/src/cloverplank/wire/peers.py
@@ -21,6 +21,13 @@
     images: list[str] = field(default_factory=list)
 
 
+class SuspectHint(Struct, array_like=True):
+    """The sender suspects this incarnation of a controller."""
+
+    node: str
+    incarnation: Annotated[int, Meta(ge=0)] = 0
+
+
 class Hint(Struct):
     node: str
     zone: str
@@ -31,3 +38,5 @@
     declines_grants: bool = field(name="shy", default=False)  # wants no block: it heard no workers
     changes: Annotated[float, Meta(ge=0, le=1e6)] = 0.0  # that it would make a second in the state service
     cancelled: list[str] = field(default_factory=list)  # jobs whose cancellation it has committed lately
+    incarnation: Annotated[int, Meta(ge=0)] = 0  # raised by a controller that hears that it is suspected
+    suspects: list[SuspectHint] = field(default_factory=list)
