--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -221,3 +221,18 @@
     from cloverplank.zones.status import read_status
 
     _show_status(config, read_status, as_json)
+
+
+@main.group()
+def controllers() -> None:
+    """Controllers, their duties, and handovers."""
+
+
+@controllers.command("status")
+@CONFIG
+@JSON
+def controllers_status(config: Path, as_json: bool) -> None:
+    """Show who is there, leads and holds what, and from whom a block was taken, from committed state."""
+    from cloverplank.suspicion.status import read_status
+
+    _show_status(config, read_status, as_json)
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -18,7 +18,8 @@
 from cloverplank.net.messages import NoAnswer, Request, Response
 from cloverplank.net.server import Server
 
-from ..world.world import SETTINGS, TEAM, World
+from ..world.world import MACHINE, SETTINGS, TEAM, World
+from .programs import ROOT
 from .relay import Relay
 
 FRONT, PEERS, STATE, CLOUD, WORKER = 8080, 8081, 2379, 8443, 9000
@@ -82,6 +83,7 @@
         operator: str = "",
         controllers: int = 3,
         zones: int = 1,
+        cpu: float = 1.0,
     ) -> None:
         self.folder = folder
         self.programs = programs
@@ -96,7 +98,7 @@
         self.refused: set[str] = set()  # controllers that the state service alone refuses
         self.relays: dict[tuple[str, str], Relay] = {}  # by who sends and who is sent to
         self.cut_zones: set[str] = set()
-        super().__init__(seed, zones=zones, capacity=40, scale=8.0, controllers=controllers)
+        super().__init__(seed, zones=zones, capacity=40, scale=8.0, controllers=controllers, cpu=cpu)
         self.began = self.now()
 
     # -- addresses
@@ -241,7 +243,13 @@
         teams = "".join(TEAM.format(name=n, cpus=m / 2, most=m) for n, m in self.limits.items())
         zones = "[" + ", ".join(f'"{z}"' for z in self.zones) + "]"
         text = SETTINGS.format(
-            label=label, zone=self.home[label], peers=peers, zones=zones, teams=teams, coming="", machine=""
+            label=label,
+            zone=self.home[label],
+            peers=peers,
+            zones=zones,
+            teams=teams,
+            coming="",
+            machine=MACHINE.format(cpu=self.cpu),
         )
         number = 1 + self.labels.index(label)
         return (
@@ -279,6 +287,23 @@
     def ended_by_themselves(self) -> list[str]:
         return [label for label, process in self.processes.items() if process.popen.poll() is not None]
 
+    async def command(self, *arguments: str, exit_code: int = 0) -> str:
+        """What a command of this program prints, beside the cluster at work."""
+        config = str(self.folder / f"{self.labels[0]}.toml")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "run.py",
+            *arguments,
+            "--config",
+            config,
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        out, _ = await process.communicate()
+        assert process.returncode == exit_code, out
+        return out.decode()
+
     async def close(self) -> None:
         """Ends every process, by its id, and all stand-ins."""
         for process in self.processes.values():
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -6,7 +6,6 @@
 import asyncio
 import json
 import random
-import sys
 from pathlib import Path
 
 import pytest
@@ -112,7 +111,7 @@
             verdict(cluster)
         finally:
             await cluster.close()
-        refusal = await rollout_status(cluster, 1)
+        refusal = await cluster.command("rollout", "status", exit_code=1)
         assert "no answer from the state service" in refusal and refusal.count("\n") == 1
         return cluster
 
@@ -146,30 +145,10 @@
     await reached(cluster, 1, "finalized")
     trouble.cancel()
     await all_ready(cluster)
-    found = json.loads(await rollout_status(cluster, 0, "--json"))
+    found = json.loads(await cluster.command("rollout", "status", "--json"))
     assert (found["version"], found["phase"], found["waiting_for"], found["unreadable"]) == (1, "finalized", [], [])
     assert [c["name"] for c in found["controllers"] if c["present"]] == cluster.labels
-    assert "phase: finalized" in await rollout_status(cluster, 0)
-
-
-async def rollout_status(cluster: LoopbackCluster, exit_code: int, *more: str) -> str:
-    """What the command prints, beside a cluster at work."""
-    config = str(cluster.folder / f"{cluster.labels[0]}.toml")
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "run.py",
-        "rollout",
-        "status",
-        "--config",
-        config,
-        *more,
-        cwd=programs.ROOT,
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.STDOUT,
-    )
-    out, _ = await process.communicate()
-    assert process.returncode == exit_code, out
-    return out.decode()
+    assert "phase: finalized" in await cluster.command("rollout", "status")
 
 
 async def back_to_production(cluster: LoopbackCluster, chance: random.Random) -> None:
