Zones: replicas and work with a deadline may use every machine that is back; steps hold the others

Change: machines that are not admitted yet are reserved for what goes first, in the leader's split and in the holder's placing.

--- a/src/cloverplank/fleet/holder.py
+++ b/src/cloverplank/fleet/holder.py
@@ -274,10 +274,13 @@
                 continue  # full for this round: under a backlog most are
             if machine.id in self.returning or self.outcomes.faulty(machine) or machine.id in self._packing.emptying:
                 continue
-            if self.plan.withholds(self.zone) and not self._is_admitted(machine):
+            returning = self.plan.withholds(self.zone)
+            if returning and not self._is_reconciled(machine):
                 continue
-            result.append(self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images))
-        return Rooms(result, least_cpus)
+            room = self._rooming.room(machine.id, self.zone, kind, machine.spot, machine.known_images)
+            room.reserved = returning and not self._is_admitted(machine)
+            result.append(room)
+        return Rooms(result, least_cpus, self.plan.goes_first)
 
     def recovers(self) -> bool:
         """The zone returns after a loss: its machines take new tasks in steps."""
@@ -285,7 +288,7 @@
 
     def _is_admitted(self, machine: Machine) -> bool:
         up_for_s = 0.0 if machine.up_since is None else self.clock.mono() - machine.up_since
-        return self.plan.admits(self.zone, machine.id, up_for_s) and self._is_reconciled(machine)
+        return self.plan.admits(self.zone, machine.id, up_for_s)
 
     def _is_reconciled(self, machine: Machine) -> bool:
         """Nothing runs on it that is placed elsewhere by now: stale copies have ended before their room counts."""
--- a/src/cloverplank/fleet/leader.py
+++ b/src/cloverplank/fleet/leader.py
@@ -177,9 +177,10 @@
             kind = types.get(known.type)
             if kind is None or self._store.load(known.id).cpus + least_cpus > kind.cpus + TINY:
                 continue
-            if not self._usable(known) or not self._admitted(known, plan):
+            if not self._usable(known):
                 continue
             room = self._rooming.room(known.id, known.zone, kind, known.spot, known.images)
+            room.reserved = not self._admitted(known, plan)
             room.real = known.health in ("up", "unheard") if known.heard_at is not None else known.state == "running"
             result.append(room)
         for name, (rental, _) in self._mirror.under(keys.RENTALS, RentalRecord).items():
@@ -191,7 +192,7 @@
                 result.append(
                     room_of(machine, Zone(rental.zone), kind, rental.spot, frozenset(), self._store, real=False)
                 )
-        return Rooms(result, least_cpus)
+        return Rooms(result, least_cpus, plan.goes_first)
 
     def _admitted(self, known: Known, plan: ZonePlan) -> bool:
         up_for_s = 0.0 if known.up_since is None else self._clock.mono() - known.up_since
--- a/src/cloverplank/jobs/placing.py
+++ b/src/cloverplank/jobs/placing.py
@@ -33,6 +33,7 @@
     empty: bool = True
     real: bool = True  # False: a machine that is not up yet
     used: bool = False  # something was put here in this round
+    reserved: bool = False  # for work that goes first: the machine's zone returns from a loss
 
 
 def suits(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
@@ -75,12 +76,19 @@
     easier job has found none, there is none.
     """
 
-    def __init__(self, rooms: Iterable[Room], least_cpus: float = 0.0) -> None:
-        """`least_cpus`: what has less left is passed over, since no task of this round can use it."""
+    def __init__(
+        self,
+        rooms: Iterable[Room],
+        least_cpus: float = 0.0,
+        goes_first: Callable[[JobSpec], bool] = lambda spec: True,
+    ) -> None:
+        """`least_cpus`: what has less left is passed over, since no task of this round can use it. `goes_first`: jobs
+        that may use reserved rooms."""
         self._least_cpus = least_cpus
+        self._goes_first = goes_first
         self.by_name: dict[MachineId, Room] = {room.machine: room for room in rooms if room.cpus + TINY >= least_cpus}
         self._full_seen = 0  # looks at rooms that are full by now, since they were last left out
-        self._hopeless: dict[tuple[Zone, bool], list[JobSpec]] = {}
+        self._hopeless: dict[tuple[Zone, bool, bool], list[JobSpec]] = {}
         self._groups: dict[tuple[Zone, bool, bool], list[Room]] | None = None  # by zone, up or not, spot or not
         self._with_image: dict[tuple[Zone, bool, bool, str], list[Room]] = {}
 
@@ -95,7 +103,7 @@
 
     def _of(self, rooms: Iterable[Room]) -> Rooms:
         """The same round with these rooms, those that have become full included."""
-        result = Rooms(rooms)
+        result = Rooms(rooms, goes_first=self._goes_first)
         result._least_cpus = self._least_cpus
         return result
 
@@ -142,7 +150,8 @@
 
         Bursts of what is not pressing would otherwise keep every ordinary machine from ever being idle.
         """
-        known = self._hopeless.setdefault((zone, pressing), [])
+        goes_first = self._goes_first(spec)
+        known = self._hopeless.setdefault((zone, pressing, goes_first), [])
         for other in known:
             if _no_easier(spec, other):
                 return
@@ -155,6 +164,7 @@
                 room.cpus >= cpus
                 and room.memory_gb >= memory_gb
                 and (wakes or room.spot or not room.empty)
+                and (goes_first or not room.reserved)
                 and room_for(spec, room) > 0
             ):
                 found = True
--- a/src/cloverplank/zones/plan.py
+++ b/src/cloverplank/zones/plan.py
@@ -11,6 +11,7 @@
 from cloverplank.basic_types import MachineId, WallMs, Zone
 from cloverplank.jobs.placing import Turn
 from cloverplank.jobs.records import JobRecord
+from cloverplank.wire.users import JobSpec
 
 from .records import WHOLE, ZoneHealth, ZoneRecord
 
@@ -86,6 +87,13 @@
             return True
         return zlib.crc32(machine.encode()) % WHOLE < self._records[zone].admitted
 
+    def goes_first(self, spec: JobSpec) -> bool:
+        """Replicas and work with a deadline may use every machine that is back and reconciled; the others wait for the
+        steps of the admission."""
+        if spec.job_class in self._classes.last:
+            return False
+        return spec.service or spec.deadline_s is not None or spec.job_class in self._classes.first
+
     def rentable(self, zone: Zone) -> bool:
         """New machines are rented there. Where every zone is lost, in all of them: something has to run."""
         lost = {Zone(record.zone) for record in self._disturbed if record.health is ZoneHealth.LOST}
