--- a/tests/world/network.py
+++ b/tests/world/network.py
@@ -15,6 +15,16 @@
     def cut(self, one: str, other: str) -> None:
         self.cuts |= {(one, other), (other, one)}
 
+    def cut_zone(self, zone: str) -> None:
+        """Its controllers and machines reach one another and nobody else."""
+        inside = [label for label in self.labels if self.home[label] == zone]
+        inside += [m.id for m in self.machines.values() if m.zone == zone]
+        outside = [label for label in self.labels if self.home[label] != zone]
+        outside += [m.id for m in self.machines.values() if m.zone != zone]
+        for one in inside:
+            for other in [*outside, "state", "cloud"]:
+                self.cut(one, other)
+
     def heal(self) -> None:
         self.cuts.clear()
         for late in self.held:
