--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -270,6 +270,11 @@
             self.measured.kills.append(Kill(self.now() - self.began, label, process.program, self.phase()))
             process.kill()
 
+    def start_all(self) -> None:
+        """Whoever was ended and not started again: a trouble may have been called off in between."""
+        for label in self.labels:
+            self.start(label)
+
     async def run_program(self, label: str, program: str, after_s: float) -> None:
         """Ends a controller's process and starts it again, perhaps as another version."""
         self.crash(label)
--- a/tests/loopback/measure.py
+++ b/tests/loopback/measure.py
@@ -38,6 +38,7 @@
         while not done(cluster):
             await asyncio.sleep(0.05)
     trouble.cancel()
+    cluster.start_all()
     ended = cluster.now()
     await all_ready(cluster)
     await asyncio.sleep(SETTLE_S)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -144,6 +144,7 @@
     trouble = cluster.spawn(kills(cluster, chance, (4.0, 8.0)))
     await reached(cluster, 1, "finalized")
     trouble.cancel()
+    cluster.start_all()
     await all_ready(cluster)
     found = json.loads(await cluster.command("rollout", "status", "--json"))
     assert (found["version"], found["phase"], found["waiting_for"], found["unreadable"]) == (1, "finalized", [], [])
