--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -127,7 +127,9 @@
         for src in self.labels:
             for dst in self.labels:
                 if src != dst:
-                    relay = self.relays[src, dst] = Relay(f"{self.net}.{1 + self.labels.index(dst)}:{PEERS}")
+                    relay = self.relays[src, dst] = Relay(
+                        f"{self.net}.{1 + self.labels.index(dst)}:{PEERS}", self.random
+                    )
                     self.servers.append(await relay.listen(self.relay_address(src, dst)))
         self.spawn(self._watch_replicas())
 
--- a/tests/loopback/relay.py
+++ b/tests/loopback/relay.py
@@ -1,9 +1,13 @@
-"""A link between two controllers on loopback that can be cut: what is sent meanwhile is held, as behind a packet filter."""
+"""A link between two controllers on loopback that can be cut, delay what it carries, or drop connections, by a seed.
+
+What is sent while it is cut is held, as behind a packet filter.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import random
 
 CHUNK = 65536
 
@@ -11,7 +15,10 @@
 class Relay:
     """Listens on one address and passes bytes on to another, both ways, while the link is open."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, chance: random.Random) -> None:
+        self._chance = chance
+        self.delay_s = 0.0  # the longest time that a piece takes more
+        self.drops = 0.0  # part of the pieces with which the connection is lost
         host, _, port = target.partition(":")
         self._host, self._port = host, int(port)
         self._open = asyncio.Event()
@@ -44,6 +51,11 @@
     async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while data := await reader.read(CHUNK):
             await self._open.wait()
+            if self._chance.random() < self.drops:
+                writer.transport.abort()
+                raise ConnectionResetError
+            if self.delay_s:
+                await asyncio.sleep(self._chance.uniform(0.0, self.delay_s))
             writer.write(data)
             await writer.drain()
         writer.close()
--- a/tests/test_loopback_suspicion.py
+++ b/tests/test_loopback_suspicion.py
@@ -76,8 +76,21 @@
     assert not handovers(cluster)
 
 
+async def links_that_delay_and_drop(cluster: LoopbackCluster) -> None:
+    """Delays between controllers that grow slowly, then connections lost with every tenth and every second message."""
+    for delay_s, drops in ((0.1, 0.0), (0.3, 0.0), (0.6, 0.0), (0.1, 0.1), (0.1, 0.5)):
+        for relay in cluster.relays.values():
+            relay.delay_s, relay.drops = delay_s, drops
+        await asyncio.sleep(3)
+    for relay in cluster.relays.values():
+        relay.delay_s = relay.drops = 0.0
+    await until(lambda: BLOCK in cluster.state.items)
+
+
 @pytest.mark.parametrize(
-    "scenario", [paused_holder, paused_twice_and_killed, everybody_else_paused], ids=lambda s: s.__name__
+    "scenario",
+    [paused_holder, paused_twice_and_killed, everybody_else_paused, links_that_delay_and_drop],
+    ids=lambda s: s.__name__,
 )
 def test_controllers_that_pause_on_loopback(
     scenario: Callable[[LoopbackCluster], Awaitable[None]], tmp_path: Path
