--- a/tests/world/commits.py
+++ b/tests/world/commits.py
@@ -71,3 +71,27 @@
                 ):
                     faults.append(f"{at:.1f} {job} placed while {waited} wait")
         return faults
+
+    def first_replacements(self, zone: str) -> list[str]:
+        """Classes of the jobs that lost tasks with the zone, in the order in which each was first placed again. Commits
+        are the clock: how long they took says nothing."""
+        lost = False
+        there: set[str] = set()
+        evicted: dict[str, int] = {}
+        order: list[str] = []
+        for _, key, value in self.commits:
+            if key == keys.zone(zone) and isinstance(value, dict):
+                lost = lost or value.get("health") == "lost"
+            if not key.startswith(keys.JOBS) or isinstance(value["spec"], list):
+                continue
+            runs = value.get("runs", [])
+            newest = max((one[2] for one in runs), default=0)
+            if any(one[1] == zone for one in runs):
+                there.add(key)
+            elif lost and key in there:
+                there.discard(key)
+                evicted.setdefault(key, newest)
+            if key in evicted and newest > evicted[key] and runs:
+                evicted.pop(key)
+                order.append(value["spec"]["lane"])
+        return order
