Capacity: what a job lacked is remembered by the machines it may use, and forgotten when an idle one is taken

Callers saw: a job passed over beside a machine with capacity for it, for the rest of a scheduling cycle.

Cause: CapacityIndex remembered jobs without capacity by urgency, while urgency or a need for on-demand machines decides whether idle on-demand machines may be used; and it took it that capacity only shrinks, while such a machine is open to all jobs once it is in use.

Why it works: the key is what candidates() decides by, and CapacityIndex.allocate drops what was kept from idle machines.

The first part the service never asked for (objectives call every job without spot machines urgent); the second it does.

--- a/src/cloverplank/scheduling/capacity.py
+++ b/src/cloverplank/scheduling/capacity.py
@@ -34,6 +34,14 @@
     used: bool = False  # tasks were allocated here in this scheduling cycle
     reserved: bool = False  # for important work, since the machine's zone recovers from a loss
 
+    def allocate(self, spec: JobSpec, tasks: int) -> None:
+        """Take the capacity for a number of a job's tasks."""
+        self.cpus -= spec.cpus * tasks
+        self.gpus -= spec.gpus * tasks
+        self.memory_gb -= spec.memory_gb * tasks
+        self.empty = False
+        self.used = True
+
 
 def matches_constraints(spec: JobSpec, type_name: str, zone: str, *, spot: bool) -> bool:
     """Return whether a job may use a machine of this type and zone, spot or on-demand."""
@@ -60,22 +68,14 @@
     return tasks_that_fit(spec, capacity.cpus, capacity.gpus, capacity.memory_gb)
 
 
-def allocate(capacity: FreeCapacity, spec: JobSpec, tasks: int) -> None:
-    """Take the capacity for a number of tasks."""
-    capacity.cpus -= spec.cpus * tasks
-    capacity.gpus -= spec.gpus * tasks
-    capacity.memory_gb -= spec.memory_gb * tasks
-    capacity.empty = False
-    capacity.used = True
-
-
 class CapacityIndex:
     """Free capacity of machines in one scheduling cycle, by zone.
 
     Three things spare a pass over all machines for each job. Machines are sorted once, by how full they are at the
     start of the cycle, and visited only until a job has what it wants. Machines that have become full are removed from
-    time to time. And capacity only shrinks during a cycle, so a job that found none is remembered: a job that needs as
-    much or more finds none either.
+    time to time. And capacity only shrinks during a cycle, so a job that found none is remembered: a job that may use
+    the same machines and needs as much or more finds none either. One thing grows: an on-demand machine that is no
+    longer idle is open to all jobs, so those that were kept from idle ones are forgotten when one is taken.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
             capacity.machine: capacity for capacity in capacities if capacity.cpus + EPSILON >= min_cpus
         }
         self._full_visits = 0  # visits to full machines since they were last removed
-        # Jobs that found no capacity, by zone, whether they are urgent and whether they may use reserved capacity.
+        # Jobs that found no capacity, by zone and whether they may use idle on-demand machines and reserved capacity.
         self._unplaceable: dict[tuple[Zone, bool, bool], list[JobSpec]] = {}
         self._groups: dict[GroupKey, list[FreeCapacity]] | None = None
         self._with_image: dict[tuple[Zone, bool, bool, str], list[FreeCapacity]] = {}
@@ -164,13 +164,13 @@
 
         A job that is not urgent uses no empty on-demand machine: bursts would keep them from ever being idle.
         """
+        may_use_idle = urgent or not spec.spot
         may_use_reserved = self._may_use_reserved(spec)
-        unplaceable = self._unplaceable.setdefault((zone, urgent, may_use_reserved), [])
+        unplaceable = self._unplaceable.setdefault((zone, may_use_idle, may_use_reserved), [])
         for other in unplaceable:
             if _no_easier(spec, other):
                 return
         cpus, memory_gb = spec.cpus - EPSILON, spec.memory_gb - EPSILON
-        may_use_idle = urgent or not spec.spot
         self._remove_full()
         found = False
         for capacity in self._in_order(spec, zone):
@@ -197,6 +197,14 @@
                 return max_tasks
         return tasks
 
+    def allocate(self, machine: MachineId, spec: JobSpec, tasks: int) -> None:
+        """Take the capacity for a number of a job's tasks on a machine."""
+        capacity = self.by_name[machine]
+        if capacity.empty and not capacity.spot:
+            for may_use_reserved in (True, False):
+                self._unplaceable.pop((capacity.zone, False, may_use_reserved), None)
+        capacity.allocate(spec, tasks)
+
     def fill(
         self,
         record: JobRecord,
@@ -217,7 +225,7 @@
             if allowed is not None and not allowed(capacity):
                 continue
             tasks = min(max_tasks, fit_count(record.spec, capacity))
-            allocate(capacity, record.spec, tasks)
+            self.allocate(capacity.machine, record.spec, tasks)
             result.append(Placement(capacity.machine, zone, tasks))
             max_tasks -= tasks
             if max_tasks <= 0:
--- a/src/cloverplank/shard/placement.py
+++ b/src/cloverplank/shard/placement.py
@@ -13,7 +13,7 @@
 from cloverplank.jobs.store import CachedJob, Decision
 from cloverplank.kvstore.transaction_priority import TransactionPriority
 from cloverplank.records.zones import ZoneHealth
-from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity, allocate
+from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.queue import QueuedJob
 from cloverplank.shard.capacity import ShardCapacity
@@ -147,7 +147,7 @@
             # The largest runs: a record over the size limit would be rejected whole, again and again.
             placements = sorted(placements, key=lambda placement: -placement.count)[:max_runs]
         for placement in placements:
-            allocate(other.by_name[placement.machine], spec, placement.count)
+            other.allocate(placement.machine, spec, placement.count)
         return wanted - (self._stage(view, queued_job, placements) if placements else 0)
 
     def _stage(self, view: CachedJob, queued_job: QueuedJob, placements: list[records.Placement]) -> int:
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -3,13 +3,115 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from cloverplank.basic_types import MachineId, WallTimeMs, Zone
-from cloverplank.jobs.records import JobRecord
+from cloverplank.jobs.records import JobRecord, Placement
 from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity
+from cloverplank.wire.users import JobSpec
 from tests.jobs.test_records import spec
 
 ZONE = Zone("a")
+ZONES = (ZONE, Zone("b"))
+TYPES = ("large", "small")
+AMOUNTS = st.integers(1, 4)
+MACHINES = st.fixed_dictionaries(
+    {
+        "zone": st.sampled_from(ZONES),
+        "type": st.sampled_from(TYPES),
+        "spot": st.booleans(),
+        "cpus": AMOUNTS,
+        "gpus": st.integers(0, 2),
+        "memory_gb": AMOUNTS,
+        "empty": st.booleans(),
+        "reserved": st.booleans(),
+    }
+)
+JOBS = st.fixed_dictionaries(
+    {
+        "vcpus": AMOUNTS,
+        "gpus": st.integers(0, 2),
+        "ram_gb": AMOUNTS,
+        "loaners": st.booleans(),
+        "yard": st.sampled_from((None, *ZONES)),
+        "builds": st.sampled_from((None, ["large"], ["small"], ["large", "small"])),
+        "rank": st.sampled_from(("prod", "idle")),
+    }
+)
+REQUESTS = st.tuples(JOBS, st.sampled_from(ZONES), st.booleans(), st.integers(1, 4))  # job, zone, urgent, tasks
+IDLE_ON_DEMAND = {"type": "small", "spot": False, "cpus": 2, "gpus": 0, "memory_gb": 2, "empty": True}
+SMALL_JOB = {"vcpus": 1, "gpus": 0, "ram_gb": 1, "yard": None, "builds": None, "rank": "idle"}
+SPOT_JOB, ON_DEMAND_JOB = SMALL_JOB | {"loaners": True}, SMALL_JOB | {"loaners": False}
+BUSY_MACHINE = IDLE_ON_DEMAND | {"empty": False, "zone": ZONE, "reserved": False}
+IMPORTANT_JOB = ON_DEMAND_JOB | {"rank": "prod"}
+
+
+def _may_use_reserved(job: JobSpec) -> bool:
+    return job.rank == "prod"
+
+
+def _capacity_index(machines: list[dict]) -> CapacityIndex:
+    return CapacityIndex(
+        [FreeCapacity(MachineId(f"m-{number}"), **machine) for number, machine in enumerate(machines)],
+        may_use_reserved=_may_use_reserved,
+    )
+
+
+def _record(job: dict) -> JobRecord:
+    return JobRecord(spec(pieces=6, **job), WallTimeMs(0))
+
+
+def _forgetful_fill(index: CapacityIndex, record: JobRecord, zone: Zone, tasks: int, urgent: bool) -> list[Placement]:
+    """Fill as an index would that searches all machines for every job."""
+    index._unplaceable.clear()
+    return index.fill(record, zone, tasks, urgent=urgent)
+
+
+# A job was passed over although a machine had capacity: what others lacked was remembered too broadly.
+@given(st.lists(MACHINES, max_size=6), st.lists(REQUESTS, max_size=8))
+@example(
+    [IDLE_ON_DEMAND | {"zone": ZONE, "reserved": False}],
+    [(SPOT_JOB, ZONE, False, 1), (ON_DEMAND_JOB, ZONE, True, 1), (SPOT_JOB, ZONE, False, 1)],
+)
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB | {"vcpus": 3}, ZONE, True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB | {"gpus": 1}, ZONE, True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB | {"ram_gb": 3}, ZONE, True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB | {"yard": ZONES[1]}, ZONE, True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB, ZONES[1], True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE], [(ON_DEMAND_JOB | {"builds": ["large"]}, ZONE, True, 1), (ON_DEMAND_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE | {"spot": True}], [(ON_DEMAND_JOB, ZONE, True, 1), (SPOT_JOB, ZONE, True, 1)])
+@example([BUSY_MACHINE | {"reserved": True}], [(ON_DEMAND_JOB, ZONE, True, 1), (IMPORTANT_JOB, ZONE, True, 1)])
+def test_jobs_remembered_to_lack_capacity_change_no_placement_under_any_constraint(
+    machines: list[dict], requests: list[tuple[dict, Zone, bool, int]]
+) -> None:
+    remembering, forgetful = _capacity_index(machines), _capacity_index(machines)
+    for job, zone, urgent, tasks in requests:
+        record = _record(job)
+        expected = _forgetful_fill(forgetful, record, zone, tasks, urgent)
+        assert remembering.fill(record, zone, tasks, urgent=urgent) == expected
+
+
+# A job was passed over on a machine that the other index of the cycle had taken into use.
+@given(st.lists(MACHINES, max_size=6), st.lists(REQUESTS, max_size=8))
+@example(
+    [IDLE_ON_DEMAND | {"zone": ZONE, "reserved": False}],
+    [(SPOT_JOB, ZONE, False, 1), (IMPORTANT_JOB, ZONE, True, 1), (SPOT_JOB, ZONE, False, 1)],
+)
+def test_capacity_taken_in_another_index_changes_no_placement(
+    machines: list[dict], requests: list[tuple[dict, Zone, bool, int]]
+) -> None:
+    """Placement has two indexes: important jobs fill the one with headroom, the others the one without."""
+    remembering, forgetful, total = (_capacity_index(machines) for _ in range(3))
+    for job, zone, urgent, tasks in requests:
+        record = _record(job)
+        if job["rank"] == "prod":
+            for placement in total.fill(record, zone, tasks, urgent=urgent):
+                remembering.allocate(placement.machine, record.spec, placement.count)
+                forgetful.allocate(placement.machine, record.spec, placement.count)
+            continue
+        expected = _forgetful_fill(forgetful, record, zone, tasks, urgent)
+        assert remembering.fill(record, zone, tasks, urgent=urgent) == expected
 
 
 @pytest.mark.parametrize(
