Evictions are logged with tasks, attempts, token and the proof that the tasks have ended

The worker's fence is now taken back after the eviction that rests on it instead of before, which changes nothing else.

--- a/src/cloverplank/jobs/ranges.py
+++ b/src/cloverplank/jobs/ranges.py
@@ -34,6 +34,11 @@
     return zip(ranges[::2], ranges[1::2], strict=True)
 
 
+def text(ranges: Ranges) -> str:
+    """Return the set as log lines show it: `0-3,7`."""
+    return ",".join(str(first) if first == last else f"{first}-{last}" for first, last in pairs(ranges))
+
+
 def numbers(ranges: Ranges) -> Iterator[int]:
     """Yield all numbers."""
     for first, last in pairs(ranges):
--- a/src/cloverplank/shard/evictions.py
+++ b/src/cloverplank/shard/evictions.py
@@ -5,7 +5,7 @@
 import logging
 
 from cloverplank.basic_types import MachineId, WallTimeMs
-from cloverplank.jobs import records
+from cloverplank.jobs import ranges, records
 from cloverplank.jobs.store import CachedJob
 from cloverplank.kvstore.transaction_priority import TransactionPriority
 from cloverplank.shard.record_changes import RecordChanges
@@ -34,11 +34,31 @@
             if any(run.zone == state.zone for run in view.staged.runs_on.get(name, ()))
         ]
         if views:
-            jobs = " ".join(view.id for view in views[:MAX_LOGGED_JOBS])
-            log.info("eviction: machine %s %s: %d jobs: %s", name, reason, len(views), jobs)
+            tasks = " ".join(_placed_text(view, name) for view in views[:MAX_LOGGED_JOBS])
+            log.info(
+                "eviction: machine %s %s, token %d, %s: %d jobs: %s",
+                name,
+                reason,
+                state.ownership.token,
+                self._proof_text(name),
+                len(views),
+                tasks,
+            )
         for view in views:
             self._changes.stage(view, records.evict(name, state.clock.wall_ms()), TransactionPriority.PLACE)
 
+    def _proof_text(self, name: MachineId) -> str:
+        """Return what is known of the worker's lease and of what it has shown, as the log line gives it."""
+        machine = self._state.machines.get(name)
+        if machine is None:
+            return "not in the shard"
+        now = self._state.clock.monotonic()
+        expires_at = machine.tasks_expire_at(self._state.limits.lease_s, self._state.ownership.unfenced_expiry_at)
+        return (
+            f"{'fenced' if machine.fenced else 'not fenced'}, shown token {machine.token or 0} in incarnation "
+            f"{machine.incarnation}, lease expires in {expires_at - now:.1f} s"
+        )
+
     def settle(self) -> None:
         """Drop entries of evictions whose replacements are healthy, or that are too old."""
         now = self._state.clock.wall_ms()
@@ -60,3 +80,9 @@
         if healthy or any(now - entry.evicted_at >= limit_ms for entry in entries):
             change = records.drop_evictions(now, limit_ms, replaced=healthy)
             self._changes.stage(view, change, TransactionPriority.DONE, delay_s=SETTLE_DELAY_S)
+
+
+def _placed_text(view: CachedJob, machine: MachineId) -> str:
+    """Return the tasks of a job that are evicted, with their attempts: `run-000412/0-3,7 attempt 2`."""
+    runs = view.staged.runs_on.get(machine, ())
+    return ", ".join(f"{view.id}/{ranges.text(run.tasks)} attempt {run.attempt}" for run in runs)
--- a/src/cloverplank/shard/liveness.py
+++ b/src/cloverplank/shard/liveness.py
@@ -124,11 +124,11 @@
         if machine.health is Health.UNHEARD and not self._state.store.jobs_on(machine.id):
             return  # it never came up, and has no tasks
         machine.transition(Health.TAINTED, f"silent for {silent_s:.1f} s, lease expired")
-        machine.fenced = False
         self._state.request_cycle()
 
     def _clear_tainted(self, machine: Machine, silent_s: float) -> None:
         self._evict(machine.id, "tainted")
+        machine.fenced = False
         machine.forget_tasks()
         if silent_s > FORGET_TAINTED_AFTER_S and not self._state.store.jobs_on(machine.id):
             del self._state.machines[machine.id]
--- a/tests/shard/test_liveness.py
+++ b/tests/shard/test_liveness.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import re
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -63,6 +65,26 @@
     assert down_time_after(die_with_the_owner) < 30.0
 
 
+def test_eviction_is_logged_with_the_tasks_and_the_proof_that_they_have_ended(
+    run_service, caplog: pytest.LogCaptureFixture
+) -> None:
+    """From the logs of a day on which a task ran twice nobody could tell on what proof it had been given up."""
+    caplog.set_level(logging.INFO, "cloverplank.shard.evictions")
+
+    async def scenario(cluster: ServiceCluster) -> None:
+        cluster.world.cloud.down = True
+        cluster.busy_worker.die()
+        await asyncio.sleep(2 * World.lease_s)
+
+    run_service(scenario, seed=3)
+    assert re.search(
+        r"eviction: machine m-\d{6} tainted, token \d+, fenced, shown token \d+ in incarnation 1, "
+        r"lease expires in -\d+\.\d s: 1 jobs: run-000001/[\d,-]+ attempt 1$",
+        caplog.text,
+        re.MULTILINE,
+    ), caplog.text
+
+
 @pytest.mark.parametrize("cloud_down", [False, True], ids=["cloud up", "cloud down"])
 def test_machine_in_inbound_partition_loses_its_tasks_and_is_terminated(run_service, cloud_down: bool) -> None:
     """Its lease expired again and again while every heartbeat made it look healthy: its job waited there."""
