A shard owner knows of every former owner, also of one between two of its cycles

Callers would have seen tasks that ran on two machines at once, after two changes of a shard's owner within one scheduling cycle of a third controller.

Cause: a new owner cuts its wait for former owners short once all that it knows of have joined again. It knew them from a look at the assignment at the beginning of each cycle, and cycles are seconds apart under load; one that came and went in between, cut off from the store and still answering its workers, was missed. So were those that came and went before the cache was read anew.

--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -294,6 +294,7 @@
         self.request_cycle()
 
     def _key_changed(self, key: str) -> None:
+        self.owned.key_changed(key)
         if key == keys.LEADER:
             self.gossip.introduce()
         elif key == keys.TYPES:
--- a/src/cloverplank/shard/owned_shards.py
+++ b/src/cloverplank/shard/owned_shards.py
@@ -6,11 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from msgspec import Struct
-
 from cloverplank.autoscaling.registry import HEALTH_FAULTY, HEALTH_LOST, STATE_REQUESTED, MachineRegistry
 from cloverplank.background import BackgroundTasks
-from cloverplank.basic_types import Clock, FencingToken, MonotonicTime, NodeId, Zone
+from cloverplank.basic_types import Clock, FencingToken, MonotonicTime, Zone
 from cloverplank.kvstore import keys
 from cloverplank.kvstore.controller_lease import ControllerLease, LeaseState
 from cloverplank.kvstore.errors import QueueFullError, TransactionRejectedError
@@ -18,6 +16,7 @@
 from cloverplank.kvstore.transaction_queue import TransactionQueue
 from cloverplank.kvstore.watch_cache import WatchCache
 from cloverplank.records.cluster import ShardRecord
+from cloverplank.shard.former_owners import FormerOwners
 from cloverplank.shard.machine import Health, Machine
 from cloverplank.shard.shard import Shard
 from cloverplank.shard.shard_types import ShardLimits
@@ -33,18 +32,10 @@
 # The same of an owner that has heard workers, in seconds and in heartbeat intervals.
 MIN_PATIENCE_S = 3.5
 PATIENCE_HEARTBEATS = 1.75
-FORMER_OWNER_MARGIN_S = 5.0  # beyond its grace period, for which a former owner counts as possibly running
 MAX_CONCURRENT_FENCES = 24  # workers that are shown a new token at a time
 MIN_SILENT_MACHINES = 2  # fewer can all be silent by chance
 
 
-class FormerOwner(Struct, frozen=True):
-    """A controller that the shard was assigned to, and when that was last seen."""
-
-    node: NodeId
-    seen_at: MonotonicTime
-
-
 class OwnedShards:
     """Follows the assignments in the watch cache.
 
@@ -74,8 +65,14 @@
         self.shards: dict[Zone, Shard] = {}
         self.renewed: dict[Zone, FencingToken] = {}  # tokens of own assignments that were renewed
         self.tasks = BackgroundTasks()
-        self._former_owners: dict[Zone, dict[int, FormerOwner]] = {zone: {} for zone in zones}  # by their leases
-        self._started_at = clock.monotonic()
+        self._former_owners = FormerOwners(
+            zones,
+            clock=clock,
+            controller_lease=controller_lease,
+            watch_cache=watch_cache,
+            grace_s=limits.grace_s,
+        )
+        self.key_changed = self._former_owners.key_changed
 
     def tokens(self) -> dict[str, int]:
         """Return the fencing token of each owned shard that is not superseded, by zone."""
@@ -109,29 +106,9 @@
                 self._acquire(zone, token)
 
     def watch_former_owners(self) -> None:
-        """Find out when no former owner answers workers any more.
-
-        A controller that has joined again has ended its former process or released its assignment: either way that
-        one answers no worker any more. This has to hold for every owner that can still be running without the store,
-        not for the last one alone.
-        """
-        now = self._clock.monotonic()
-        max_age_s = self._limits.grace_s + FORMER_OWNER_MARGIN_S
-        members = self._controller_lease.members()
-        for zone, former_owners in self._former_owners.items():
-            stored = self._watch_cache.get(keys.shard(zone), ShardRecord)
-            if stored is not None and stored.record.lease != self._controller_lease.lease:
-                former_owners[stored.record.lease] = FormerOwner(NodeId(stored.record.node), now)
-            for lease in [lease for lease, owner in former_owners.items() if now - owner.seen_at > max_age_s]:
-                del former_owners[lease]
-            shard = self.shards.get(zone)
-            if shard is None or now - self._started_at < max_age_s:
-                continue  # or this controller has not run for long enough to know them all
-            if all(
-                owner.node == self._controller_lease.node_id
-                or (owner.node in members and members[owner.node].lease != lease)
-                for lease, owner in former_owners.items()
-            ):
+        """Find out when no former owner answers workers any more."""
+        for zone, shard in self.shards.items():
+            if self._former_owners.have_ended(zone):
                 shard.ownership.mark_former_owners_ended()
 
     def _acquire(self, zone: Zone, token: FencingToken) -> None:
--- /dev/null
+++ b/tests/shard/test_former_owners.py
@@ -0,0 +1,208 @@
+"""When a shard owner may rely on it that all former owners have ended.
+
+Only then does it count the leases of workers that it can't reach from that moment, and not from the end of the time for
+which a former owner may answer them without the key-value store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from cloverplank.basic_types import Clock, LeaseId, ModRevision, Zone
+from cloverplank.controller.composition import Controller
+from cloverplank.kvstore import keys
+from cloverplank.records.cluster import NodeRecord, ShardRecord
+from cloverplank.settings.platform import parse_platform
+from cloverplank.shard.shard import Shard
+from tests.simulation.actions import leader, shard_owner
+from tests.simulation.day import check
+from tests.simulation.link import Link
+from tests.simulation.loop import run
+from tests.simulation.world import World
+
+ZONE = Zone("zone-0")
+SMALL_CPU = 0.2
+OWN_LEASE = LeaseId(50)
+WARM_UP_S = 40.0  # from a controller's start until it knows every owner that may still be running
+
+
+class Follower:
+    """A controller whose cache gets changes from the test, and which is not running: its cycles are run by the test."""
+
+    def __init__(self) -> None:
+        world = World(1, cpu=SMALL_CPU)
+        for label in world.labels:
+            world.crash(label)
+        platform = parse_platform(world.settings_text("c-0", world.peers_text("c-0")))
+        clock = Clock(world.now, world.now)
+        self.controller = Controller(
+            platform, world.operator, clock=clock, http=Link(world, "c-0"), rng=random.Random(1)
+        )
+        self.cache = self.controller.watch_cache
+        self.controller.controller_lease.lease = OWN_LEASE
+        self._revision = 0
+
+    def _next_revision(self) -> ModRevision:
+        self._revision += 1
+        self.cache.revision = self._revision
+        return ModRevision(self._revision)
+
+    def joins(self, node: str, lease: int) -> None:
+        self.cache.put(keys.node(node), NodeRecord(ZONE, lease), self._next_revision())
+
+    def lease_ends(self, node: str) -> None:
+        """Delete what is attached to a controller's lease."""
+        revision = self._next_revision()
+        self.cache.delete(keys.node(node), revision)
+        stored = self.cache.get(keys.shard(ZONE), ShardRecord)
+        if stored is not None and stored.record.node == node:
+            self.cache.delete(keys.shard(ZONE), revision)
+
+    def assigned_to(self, node: str, lease: int) -> None:
+        self.cache.put(keys.shard(ZONE), ShardRecord(ZONE, node, lease), self._next_revision())
+
+    def loaded_anew(self) -> None:
+        """Tell the controller what it is told once it has read everything again."""
+        self.controller._key_changed("")
+
+    def cycle(self) -> None:
+        """Do what a scheduling cycle begins with."""
+        self.controller.owned.update()
+        self.controller.owned.watch_former_owners()
+
+    @property
+    def shard(self) -> Shard:
+        return self.controller.shards[ZONE]
+
+
+def follow(scenario) -> None:
+    """Play a scenario with a controller that has run for a while; it is a coroutine function of the follower."""
+
+    async def main() -> None:
+        follower = Follower()
+        follower.loaded_anew()
+        follower.joins("c-1", 11)
+        follower.joins("c-2", 12)
+        follower.assigned_to("c-1", 11)
+        for _ in range(int(WARM_UP_S)):
+            follower.cycle()
+            await asyncio.sleep(1.0)
+        await scenario(follower)
+
+    run(main())
+
+
+def test_former_owner_that_joined_again_has_ended() -> None:
+    async def scenario(follower: Follower) -> None:
+        follower.lease_ends("c-1")
+        follower.joins("c-1", 21)
+        follower.assigned_to("c-0", OWN_LEASE)
+        follower.cycle()
+        assert follower.shard.ownership.former_owners_ended
+
+    follow(scenario)
+
+
+def test_former_owner_that_is_absent_may_still_answer_workers() -> None:
+    async def scenario(follower: Follower) -> None:
+        follower.lease_ends("c-1")
+        follower.assigned_to("c-0", OWN_LEASE)
+        follower.cycle()
+        assert not follower.shard.ownership.former_owners_ended
+
+    follow(scenario)
+
+
+# A task would run twice: an owner between two cycles was not known, and the workers that it still answered were given up.
+@pytest.mark.parametrize("in_between", [["c-2"], ["c-2", "c-1", "c-2"]], ids=["one owner", "several owners"])
+def test_former_owner_between_two_scheduling_cycles_may_still_answer_workers(in_between: list[str]) -> None:
+    async def scenario(follower: Follower) -> None:
+        leases = {"c-1": 21, "c-2": 12}
+        follower.lease_ends("c-1")
+        follower.joins("c-1", leases["c-1"])
+        for node in in_between:
+            follower.assigned_to(node, leases[node])
+            follower.lease_ends(node)  # the controller is cut off from the key-value store, and goes on
+            leases[node] += 10
+            if node == "c-1":
+                follower.joins(node, leases[node])
+        follower.assigned_to("c-0", OWN_LEASE)
+        follower.cycle()
+        assert not follower.shard.ownership.former_owners_ended
+
+    follow(scenario)
+
+
+# The same: owners that came and went while the cache was read anew are not known.
+def test_former_owners_are_unknown_after_everything_was_read_again() -> None:
+    async def scenario(follower: Follower) -> None:
+        follower.lease_ends("c-1")
+        follower.joins("c-1", 21)
+        follower.loaded_anew()
+        follower.assigned_to("c-0", OWN_LEASE)
+        follower.cycle()
+        assert not follower.shard.ownership.former_owners_ended
+
+    follow(scenario)
+
+
+def test_owner_that_held_the_shard_for_long_is_remembered_from_the_end_of_its_assignment() -> None:
+    async def scenario(follower: Follower) -> None:
+        await asyncio.sleep(3 * WARM_UP_S)  # no cycle meanwhile
+        follower.lease_ends("c-1")
+        follower.assigned_to("c-0", OWN_LEASE)
+        follower.cycle()
+        assert not follower.shard.ownership.former_owners_ended
+
+    follow(scenario)
+
+
+async def owner_between_two_cycles_of_the_next(world: World) -> None:
+    """Have the shard owned twice in a row by controllers that end, the second one for a shorter time than a cycle.
+
+    The second one is cut off from the key-value store and keeps its workers; the third one can't reach these, and no
+    termination is to be had.
+    """
+    first, lead = shard_owner(world), leader(world)
+    second, third = (label for label in world.labels if label not in (first, lead))
+    workers = [machine for machine in world.machines.values() if machine.tasks]
+    world.boot("large", ZONE, spot=False)
+    await asyncio.sleep(14.0)
+    world.cloud.down = True
+    _decline(world, third, 6.5)
+    world.controllers[third][0].scheduling_loop.pause_after = lambda took_s: 10.0
+    await asyncio.sleep(1.3)  # the others have heard so
+    world.crash(first)
+    while not world.controllers[second][0].shards:
+        await asyncio.sleep(0.02)
+    world.start(first)
+    _decline(world, first, 60.0)
+    world.cut(second, "state")
+    for machine in world.machines.values():
+        world.cut(third if machine in workers else second, machine.id)
+    await asyncio.sleep(40.0)
+    assert world.controllers[third][0].shards or world.rules.violations
+    world.heal()
+    world.cloud.down = False
+    await asyncio.sleep(30.0)
+
+
+def _decline(world: World, label: str, seconds: float) -> None:
+    lease = world.controllers[label][0].controller_lease
+    lease.declines_assignments_until = lease._clock.monotonic() + seconds
+
+
+# A task ran twice: the owner of a shard did not know of one that its assignment came after.
+@pytest.mark.parametrize("seed", range(3))
+def test_no_task_runs_twice_if_an_owner_came_and_went_between_two_cycles_of_the_next(seed: int) -> None:
+    async def main() -> None:
+        world = World(seed, cpu=SMALL_CPU, controllers=4)
+        await world.submit(world.job(1, shape="service", lane="web", rank="prod", loaners=False, pieces=4))
+        await asyncio.sleep(20.0)
+        await owner_between_two_cycles_of_the_next(world)
+        check(world)
+
+    run(main())
