Watch cache: a load of an empty store watches on from its first read

Cause: a load reads the shards, then all other keys, and took the first page's revision by "revision or page.revision". On an empty store that revision is 0, so that of the second read was taken, and the first assignments, committed in between, never came. A controller with that hole knows neither the owner of a shard, nor its machines, nor that there is a former owner to be waited out. When the shard goes to it while the former owner is cut off from the store alone, it counts one lease and places the tasks anew.

Why it works: revision 0 is a revision like any other; the watch delivers all that was committed after the first page was read.

--- a/src/cloverplank/kvstore/watch_cache.py
+++ b/src/cloverplank/kvstore/watch_cache.py
@@ -251,21 +251,23 @@
             self.delete(event.delete, ModRevision(event.mod_revision))
 
     async def _load(self) -> None:
-        """Read everything but final records. The watch delivers what changes meanwhile."""
+        """Read everything but final records. The watch delivers what changes after the first page was read."""
         sent_at = self._clock.monotonic()
-        revision = 0
+        first_revision: ModRevision | None = None  # 0 is a revision, too: that of an empty store
         seen: set[str] = set()
         for prefix, after in ((keys.SHARDS, ""), (keys.ROOT, keys.FINALS + "~")):
             async for page in self._client.pages(prefix, after):
-                revision = revision or page.revision
+                if first_revision is None:
+                    first_revision = ModRevision(page.revision)
                 for key_value in page.items:
                     seen.add(key_value.key)
                     self.put(key_value.key, bytes(key_value.value), ModRevision(key_value.mod_revision))
+        assert first_revision is not None  # every prefix has a page
         job_keys = [*map(keys.job, self.store.jobs), *map(keys.blocked, self.blocked.jobs)]
         for key in [*self.records, *self.unreadable, *job_keys]:
             if key not in seen:
-                self.delete(key, ModRevision(revision))
-        self.revision = revision
+                self.delete(key, first_revision)
+        self.revision = first_revision
         self.complete_until = sent_at
         self.loaded = True
 
--- /dev/null
+++ b/tests/simulation/test_start_faults.py
@@ -0,0 +1,80 @@
+"""Controllers that read the key-value store while the first shards are assigned: the rules hold, and work goes on."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cloverplank.kvstore import keys
+from cloverplank.net.messages import Response
+from tests.simulation.actions import leader, shard_owner
+from tests.simulation.day import check
+from tests.simulation.loop import run
+from tests.simulation.world import World
+
+ZONE = "zone-0"
+SMALL_CPU = 0.2  # leader and shard owner are two controllers
+SHARDS_READ = f"/keys?under={keys.SHARDS}"  # the first read of a load
+
+
+class SlowStartWorld(World):
+    """A world in which one controller reads the shards at once, and all other keys once a shard is assigned."""
+
+    slow = "c-0"
+
+    async def send(self, src, addr, method, path, body=None, timeout=2.0) -> Response:
+        """Carry a request and its response."""
+        is_later_read = path.startswith(f"/keys?under={keys.ROOT}") and not path.startswith(SHARDS_READ)
+        if src == self.slow and is_later_read:
+            while keys.shard(ZONE) not in self.state.items:
+                await asyncio.sleep(0.005)
+        return await super().send(src, addr, method, path, body, timeout)
+
+
+def service(world: World) -> dict:
+    return world.job(1, shape="service", lane="web", rank="prod", loaners=False, pieces=6)
+
+
+# Half of the services never ran: the owner of a shard did not know that it had been assigned one.
+@pytest.mark.parametrize("seed", range(4))
+def test_controller_that_loads_during_the_first_assignments_serves_its_shard(seed: int) -> None:
+    async def main() -> None:
+        world = SlowStartWorld(seed, cpu=SMALL_CPU, controllers=2)
+        await world.submit(service(world))
+        await asyncio.sleep(30.0)
+        assert world.state.items[keys.shard(ZONE)][0]["node"] == shard_owner(world)
+        assert sum(len(machines) for machines in world.rules.running_on.values()) == 6
+        check(world)
+
+    run(main())
+
+
+async def owner_loses_the_store(world: World) -> None:
+    """Cut the shard owner off from the key-value store alone; the slow starter owns the shard next."""
+    owner = shard_owner(world)
+    for label in world.labels:
+        if label not in (owner, world.slow):
+            lease = world.controllers[label][0].controller_lease
+            lease.declines_assignments_until = lease._clock.monotonic() + 60.0
+    await asyncio.sleep(2.0)
+    world.cut(owner, "state")
+    for _ in range(4):
+        world.boot("large", ZONE, spot=False)
+    await asyncio.sleep(45.0)
+    world.heal()
+    await asyncio.sleep(30.0)
+
+
+# Tasks ran twice on Seoul's day "apart": the new owner knew neither the former one nor the workers that this one kept.
+@pytest.mark.parametrize("seed", range(6))
+def test_no_task_runs_twice_if_the_next_owner_loaded_during_the_first_assignments(seed: int) -> None:
+    async def main() -> None:
+        world = SlowStartWorld(seed, cpu=SMALL_CPU, controllers=3)
+        await world.submit(service(world))
+        await asyncio.sleep(40.0)
+        assert world.slow not in (leader(world), shard_owner(world)), "the seed has it take a role at the start"
+        await owner_loses_the_store(world)
+        check(world)
+
+    run(main())
