Small machines: the first leader leaves shards to controllers that are still starting

What callers saw: at a start beside load one controller led and owned the shard, on machines on which one can't do both well, and kept both roles until a lease ended.

Cause: the leader waited only for gossip of controllers that had joined, for half a second. Beside load none had, so it was the only candidate and had nobody to wait for.

Why it works: while a zone has no workers, so that waiting costs nothing, the leader waits up to 10 s for the configured controllers that could be preferred. With workers heard anywhere, or tasks in the committed records, it waits as before: failovers and restarts take no longer. A planned handover once both roles have met was weighed: it would leave workers without answers while tasks run.

--- a/src/cloverplank/controller/builders.py
+++ b/src/cloverplank/controller/builders.py
@@ -9,9 +9,11 @@
 from cloverplank.api.submission import SubmissionLimits, Submissions
 from cloverplank.api.users import Users
 from cloverplank.autoscaling.registry import MachineRegistry
-from cloverplank.basic_types import JobId, NodeId
+from cloverplank.basic_types import JobId, NodeId, Zone
 from cloverplank.controller.environment import Environment
 from cloverplank.controller.store_access import StoreAccess
+from cloverplank.jobs.store import JobStore
+from cloverplank.membership.gossip import PeerGossip
 from cloverplank.rollout.driver import Deployment, RolloutDriver
 from cloverplank.rollout.migration import Migration
 from cloverplank.scheduling.quotas import team_quotas
@@ -81,3 +83,16 @@
         committed=access.committed,
         migration=Migration(access.watch_cache, access.queue, environment.clock, access.size_limits),
     )
+
+
+def zone_has_workers(gossip: PeerGossip, registry: MachineRegistry, jobs: JobStore) -> Callable[[Zone], bool]:
+    """Return the test of whether a zone has workers: heard here or by a peer, or with tasks by committed records."""
+
+    def has_workers(zone: Zone) -> bool:
+        return (
+            gossip.hears_workers(zone)
+            or any(entry.zone == zone and entry.heard_at is not None for entry in registry.entries.values())
+            or any(view.record.placed(zone) for view in jobs)
+        )
+
+    return has_workers
--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -9,7 +9,7 @@
 from cloverplank.autoscaling.draining import DrainingMachines, is_drain_key
 from cloverplank.autoscaling.registry import MachineRegistry
 from cloverplank.basic_types import Clock, FencingToken, JobId, MonotonicTime, Zone
-from cloverplank.controller.builders import build_rollout, build_users, build_zone_watch
+from cloverplank.controller.builders import build_rollout, build_users, build_zone_watch, zone_has_workers
 from cloverplank.controller.environment import Environment
 from cloverplank.controller.machine_types import MachineTypeCatalog
 from cloverplank.controller.reconcile_loop import ReconcileLoop
@@ -148,12 +148,14 @@
         shard_assigner = ShardAssigner(
             environment.zones,
             cpu_cores=environment.platform.facts.machine_limits.cpu,
+            controller_zones=environment.controller_zones(),
             clock=environment.clock,
             controller_lease=self.controller_lease,
             watch_cache=self.watch_cache,
             queue=self.queue,
             peers=self.gossip.received,
             is_damped=self.failure_detector.is_damped,
+            has_workers=zone_has_workers(self.gossip, self.registry, self.store),
         )
         self.leader = Leader(
             environment.platform,
--- a/src/cloverplank/leader/shard_assignment.py
+++ b/src/cloverplank/leader/shard_assignment.py
@@ -24,6 +24,7 @@
 SMALL_CPU_CORES = 0.4  # with fewer, one controller can't both lead and handle the heartbeats of a zone
 INTRODUCTION_S = 0.5  # a new leader waits this long for gossip of peers that it has never heard
 JOIN_GRACE_S = 1.0  # a new leader waits this long for controllers of a zone before it assigns the shard elsewhere
+START_GRACE_S = 10.0  # where no worker waits to be served, it waits this long for controllers that are still starting
 
 
 class AssignmentCandidate(Struct, frozen=True):
@@ -50,8 +51,9 @@
 class ShardAssigner:
     """Assigns shards while this controller leads.
 
-    `cpu_cores`: of the machine that it runs on. `peers`: the latest gossip of each.
-    `is_damped`: whether a controller is assigned a shard only if there is no other.
+    `cpu_cores`: of the machine that it runs on. `controller_zones`: the zone of each configured controller.
+    `peers`: the latest gossip of each. `is_damped`: whether a controller is assigned a shard only if there is no other.
+    `has_workers`: whether a zone has workers, as far as this controller knows.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         zones: Sequence[Zone],
         *,
         cpu_cores: float,
+        controller_zones: Mapping[NodeId, Zone],
         clock: Clock,
         controller_lease: ControllerLease,
         watch_cache: WatchCache,
         queue: TransactionQueue,
         peers: Mapping[NodeId, ReceivedGossip],
         is_damped: Callable[[NodeId], bool],
+        has_workers: Callable[[Zone], bool],
     ) -> None:
         self._zones = zones
         self._separate_leader = cpu_cores < SMALL_CPU_CORES
@@ -74,6 +78,8 @@
         self._queue = queue
         self._peers = peers
         self._is_damped = is_damped
+        self._controller_zones = controller_zones
+        self._has_workers = has_workers
         self._led_revision: ModRevision | None = None
         self._led_since = MonotonicTime(0.0)
 
@@ -137,7 +143,7 @@
             return None
         if not best.in_zone and self.led_for_s() < JOIN_GRACE_S:
             return None  # one in the zone may be about to join
-        if best.node == self._controller_lease.node_id and self._awaits_gossip(zone):
+        if best.node == self._controller_lease.node_id and self._awaits_peers(zone):
             return None
         return best
 
@@ -153,15 +159,36 @@
             return candidate.preference()
         return candidate.preference_if_leader(self._controller_lease.node_id)
 
-    def _awaits_gossip(self, zone: Zone) -> bool:
-        """Return whether another controller of the zone might be preferred and has not been heard since it joined."""
-        if not self._separate_leader or self.led_for_s() >= INTRODUCTION_S:
+    def _awaits_peers(self, zone: Zone) -> bool:
+        """Return whether a controller that might be preferred to this one may be about to join or to be heard.
+
+        Once a leader owns a shard, too, it keeps both roles. So it waits for all configured controllers as long as that
+        costs nothing, and only for those that have joined where workers wait for an owner.
+        """
+        if not self._separate_leader:
             return False
+        if self.led_for_s() < INTRODUCTION_S and self._has_unheard_member(zone):
+            return True
+        return self.led_for_s() < START_GRACE_S and self._has_absent_peer(zone) and not self._has_workers(zone)
+
+    def _has_unheard_member(self, zone: Zone) -> bool:
+        """Return whether another controller of the zone has joined and has never been heard."""
         return any(
             record.zone == zone and node != self._controller_lease.node_id and node not in self._peers
             for node, record in self._controller_lease.members().items()
         )
 
+    def _has_absent_peer(self, zone: Zone) -> bool:
+        """Return whether a configured controller that might be preferred has not joined, or was never heard."""
+        node_id = self._controller_lease.node_id
+        is_in_zone = self._controller_zones[node_id] == zone
+        members = self._controller_lease.members()
+        return any(
+            node not in members or node not in self._peers
+            for node, home in self._controller_zones.items()
+            if node != node_id and (home == zone or not is_in_zone)
+        )
+
     def _as_candidate(
         self, zone: Zone, node: NodeId, record: NodeRecord, mod_revision: ModRevision, now: MonotonicTime
     ) -> AssignmentCandidate | None:
--- a/src/cloverplank/membership/gossip.py
+++ b/src/cloverplank/membership/gossip.py
@@ -195,6 +195,12 @@
         """Return how many workers of a zone have sent a heartbeat here since then."""
         return sum(heard_at >= since for heard_at in self._workers.get(zone, {}).values())
 
+    def hears_workers(self, zone: str) -> bool:
+        """Return whether this controller or, by its gossip, a peer hears workers of a zone."""
+        return bool(self._workers.get(zone)) or any(
+            message.worker_counts.get(zone, 0) for message in self.all_latest().values()
+        )
+
     def _forget_silent_workers(self) -> None:
         now = self._clock.monotonic()
         for workers in self._workers.values():
--- a/tests/leader/test_shard_assignment.py
+++ b/tests/leader/test_shard_assignment.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cloverplank.basic_types import ModRevision, NodeId
-from cloverplank.leader.shard_assignment import SMALL_CPU_CORES, AssignmentCandidate
+from cloverplank.kvstore import keys
+from cloverplank.leader.shard_assignment import SMALL_CPU_CORES, START_GRACE_S, AssignmentCandidate
 from cloverplank.records.cluster import NodeRecord
 from tests.simulation.loop import run
 from tests.simulation.world import World
@@ -86,3 +87,132 @@
         assert shard_owners(world) == {"zone-0": leader(world)}
 
     run(main())
+
+
+def start_late(world: World, delays_s: dict[str, float]) -> None:
+    """Have controllers of a world that was just made start after so many seconds, as on a busy machine."""
+    for label, delay_s in delays_s.items():
+        world.crash(label)
+        world.loop.call_later(delay_s, world.start, label)
+
+
+def first_assignment(world: World, zone: str) -> tuple[str, str]:
+    """Return the first owner of a zone's shard, and the leader that it was assigned by."""
+    lead = ""
+    for change in world.state.log:
+        if change.get("put") == keys.LEADER:
+            lead = change["value"]["node"]
+        if change.get("put") == keys.shard(zone):
+            return change["value"]["node"], lead
+    raise AssertionError(f"{zone} has no owner")
+
+
+async def until_assigned(world: World, zone: str, within_s: float) -> float:
+    """Wait until a zone's shard has an owner; return the seconds that it took."""
+    began_at = world.now()
+    async with asyncio.timeout(within_s):
+        while keys.shard(zone) not in world.state.items:
+            await asyncio.sleep(0.05)
+    return world.now() - began_at
+
+
+# The first leader assigned the shard to itself while its peers were still starting, and kept both roles.
+@pytest.mark.parametrize(
+    "delays_s",
+    [
+        pytest.param({"c-1": 0.3, "c-2": 0.6}, id="both a little late"),
+        pytest.param({"c-1": 3.0, "c-2": 5.0}, id="both late"),
+        pytest.param({"c-1": 8.0, "c-2": 8.0}, id="both very late"),
+        pytest.param({"c-2": 4.0}, id="one late"),
+    ],
+)
+def test_first_leader_leaves_the_shard_to_controllers_that_start_late(delays_s: dict[str, float]) -> None:
+    async def main() -> None:
+        world = World(3, cpu=SMALL_CPU)
+        start_late(world, delays_s)
+        await until_assigned(world, "zone-0", START_GRACE_S + 2.0)
+        owner, lead = first_assignment(world, "zone-0")
+        assert owner != lead
+
+    run(main())
+
+
+def test_first_leader_owns_the_shard_soon_if_no_other_controller_ever_starts() -> None:
+    async def main() -> None:
+        world = World(3, cpu=SMALL_CPU)
+        for label in ("c-1", "c-2"):
+            world.crash(label)
+        took_s = await until_assigned(world, "zone-0", START_GRACE_S + 2.0)
+        assert took_s >= START_GRACE_S / 2
+        assert first_assignment(world, "zone-0") == ("c-0", "c-0")
+
+    run(main())
+
+
+def test_wait_for_peers_ends_as_soon_as_a_worker_is_heard() -> None:
+    """Machines may be up within a second; without an owner nobody would answer them."""
+
+    async def main() -> None:
+        world = World(3, cpu=SMALL_CPU)
+        for label in ("c-1", "c-2"):
+            world.crash(label)
+        world.boot("small", "zone-0", spot=False)
+        heard_after_s = max(machine.up_at for machine in world.machines.values()) - world.now()
+        assert await until_assigned(world, "zone-0", START_GRACE_S) < heard_after_s + 2.5 * world.report_s
+        assert heard_after_s + 2.5 * world.report_s < START_GRACE_S + 3.0
+
+    run(main())
+
+
+def test_shard_of_a_zone_without_controllers_is_not_left_to_the_leader_at_a_start() -> None:
+    """The only controllers that could take it are in another zone, and late."""
+
+    async def main() -> None:
+        world = World(3, cpu=SMALL_CPU, zones=2, controllers=4)
+        world.home = dict.fromkeys(world.labels, "zone-0")
+        for label in world.labels:
+            world.crash(label)
+        world.start("c-0")
+        for number, label in enumerate(("c-1", "c-2", "c-3")):
+            world.loop.call_later(3.0 + number, world.start, label)
+        for zone in world.zones:
+            await until_assigned(world, zone, START_GRACE_S + 2.0)
+            owner, lead = first_assignment(world, zone)
+            assert owner != lead
+
+    run(main())
+
+
+def test_leader_that_is_replaced_while_it_waits_leaves_no_shard_behind() -> None:
+    async def main() -> None:
+        world = World(3, cpu=SMALL_CPU)
+        start_late(world, {"c-1": 2.0, "c-2": 6.0})
+        await asyncio.sleep(1.5)
+        assert keys.shard("zone-0") not in world.state.items
+        world.spawn(world.restart("c-0", 7.0))
+        await until_assigned(world, "zone-0", 2 * START_GRACE_S)
+        owner, lead = first_assignment(world, "zone-0")
+        assert owner != lead
+
+    run(main())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_workers_wait_no_longer_for_an_owner_after_all_controllers_restart(seed: int) -> None:
+    """Two of three stay away: with workers running, the third must not wait for them."""
+
+    async def main() -> None:
+        world = World(seed, cpu=SMALL_CPU)
+        await world.submit(world.job(1, shape="service", lane="web", rank="prod", loaners=False, pieces=4))
+        await asyncio.sleep(20.0)
+        assert any(machine.tasks for machine in world.machines.values())
+        for label in world.labels:
+            world.crash(label)
+        world.state.expire()
+        await asyncio.sleep(6.0)  # longer than their leases
+        world.state.expire()
+        assert keys.shard("zone-0") not in world.state.items
+        world.start("c-0")
+        assert await until_assigned(world, "zone-0", START_GRACE_S) < 1.5
+
+    run(main())
