--- a/src/cloverplank/autoscaling/registry.py
+++ b/src/cloverplank/autoscaling/registry.py
@@ -42,7 +42,7 @@
     since: MonotonicTime = MonotonicTime(0.0)  # when it was provisioned
     heard_at: MonotonicTime | None = None  # by its shard owner
     health: str = HEALTH_UNKNOWN
-    ends: bool = False  # the cloud has announced that it takes the machine back
+    termination_announced: bool = False  # the cloud has said that it takes the machine back
     listed_at: MonotonicTime | None = None
     images: frozenset[str] = frozenset()
     gossiped_images: list[str] = field(default_factory=list)
@@ -127,7 +127,7 @@
         elif entry.up_since is None:
             entry.up_since = now
         entry.health = message.state
-        entry.ends = message.notice_s is not None
+        entry.termination_announced = message.notice_s is not None
         if message.images != entry.gossiped_images:
             entry.images, entry.gossiped_images = frozenset(message.images), message.images
 
--- a/src/cloverplank/leader/cluster_machines.py
+++ b/src/cloverplank/leader/cluster_machines.py
@@ -20,6 +20,6 @@
 
     def is_assignable(self, entry: MachineEntry) -> bool:
         """Return whether the machine may be given new tasks, now or once it is up."""
-        if entry.id in self.draining or entry.ends or entry.state == STATE_FAILED:
+        if entry.id in self.draining or entry.termination_announced or entry.state == STATE_FAILED:
             return False
         return entry.health in ASSIGNABLE_HEALTH
--- a/src/cloverplank/leader/scale_in.py
+++ b/src/cloverplank/leader/scale_in.py
@@ -129,7 +129,7 @@
             return DrainReason.SILENT
         idle_limit_s = self._operator.idle_release_spot_s if entry.spot else self._operator.idle_release_s
         idle_s = -math.inf if entry.idle_since is None else now - entry.idle_since
-        is_idle = idle_s >= idle_limit_s and now - entry.since >= MIN_BILLED_S and not entry.ends
+        is_idle = idle_s >= idle_limit_s and now - entry.since >= MIN_BILLED_S and not entry.termination_announced
         return DrainReason.IDLE if is_idle else None
 
     def _next_drain_key(self) -> str:
