--- a/tests/simulation/test_start_faults.py
+++ b/tests/simulation/test_start_faults.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
 from cloverplank.kvstore import keys
 from cloverplank.net.messages import Response
+from tests.membership.scenarios import DETECTOR_ENABLED
 from tests.simulation.actions import leader, shard_owner
 from tests.simulation.day import check
 from tests.simulation.loop import run
@@ -50,31 +52,76 @@
     run(main())
 
 
-async def owner_loses_the_store(world: World) -> None:
-    """Cut the shard owner off from the key-value store alone; the slow starter owns the shard next."""
+@dataclass(frozen=True, kw_only=True)
+class StoreLoss:
+    """How the shard owner loses the key-value store.
+
+    `refused`: its requests are refused, where else its messages are held or lost. `seconds`: for how long.
+    `successor_crashes`: whether the next owner crashes meanwhile and is back at once.
+    """
+
+    refused: bool = False
+    seconds: float = 45.0
+    suspicion: bool = False
+    successor_crashes: bool = False
+
+
+async def owner_loses_the_store(world: World, loss: StoreLoss) -> None:
+    """Have the shard owner lose the key-value store alone; the slow starter owns the shard next."""
     owner = shard_owner(world)
     for label in world.labels:
         if label not in (owner, world.slow):
             lease = world.controllers[label][0].controller_lease
             lease.declines_assignments_until = lease._clock.monotonic() + 60.0
     await asyncio.sleep(2.0)
-    world.cut(owner, "state")
+    if loss.refused:
+        world.state.refused_clients = {owner}
+    else:
+        world.cut(owner, "state")
     for _ in range(4):
         world.boot("large", ZONE, spot=False)
-    await asyncio.sleep(45.0)
+    if loss.successor_crashes:
+        await asyncio.sleep(6.0)
+        world.spawn(world.restart(world.slow, 0.2))
+    await asyncio.sleep(loss.seconds)
     world.heal()
+    world.state.refused_clients = set()
     await asyncio.sleep(30.0)
 
 
-# Tasks ran twice on Seoul's day "apart": the new owner knew neither the former one nor the workers that this one kept.
-@pytest.mark.parametrize("seed", range(6))
-def test_no_task_runs_twice_if_the_next_owner_loaded_during_the_first_assignments(seed: int) -> None:
-    async def main() -> None:
-        world = SlowStartWorld(seed, cpu=SMALL_CPU, controllers=3)
+def play_store_loss(seed: int, loss: StoreLoss) -> World:
+    """Play a service whose shard goes to the slow starter; return the world with the rules it broke."""
+
+    async def main() -> World:
+        operator = DETECTOR_ENABLED if loss.suspicion else None
+        world = SlowStartWorld(seed, cpu=SMALL_CPU, controllers=3, operator=operator)
         await world.submit(service(world))
         await asyncio.sleep(40.0)
         assert world.slow not in (leader(world), shard_owner(world)), "the seed has it take a role at the start"
-        await owner_loses_the_store(world)
-        check(world)
+        await owner_loses_the_store(world, loss)
+        return world
 
-    run(main())
+    return run(main())
+
+
+# Tasks ran twice on Seoul's day "apart": the new owner knew neither the former one nor the workers that this one kept.
+@pytest.mark.parametrize("seed", range(6))
+def test_no_task_runs_twice_if_the_next_owner_loaded_during_the_first_assignments(seed: int) -> None:
+    check(play_store_loss(seed, StoreLoss()))
+
+
+# The same fault, in other ways for the former owner to lose the store and for the next one to take over.
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(
+    "loss",
+    [
+        pytest.param(StoreLoss(refused=True), id="refused"),
+        pytest.param(StoreLoss(seconds=8.0), id="back before its grace period ends"),
+        pytest.param(StoreLoss(seconds=70.0), id="back long after its workers' leases"),
+        pytest.param(StoreLoss(suspicion=True), id="with failure detection"),
+        pytest.param(StoreLoss(refused=True, suspicion=True), id="refused, with failure detection"),
+        pytest.param(StoreLoss(successor_crashes=True), id="the next owner crashes"),
+    ],
+)
+def test_no_task_runs_twice_however_the_former_owner_loses_the_store(seed: int, loss: StoreLoss) -> None:
+    check(play_store_loss(seed, loss))
