When tasks have certainly ended is asked in one place; former owners are forgotten where they are noted

Three places gave Machine.tasks_expire_at the same two values: ShardState.tasks_expire_at does. A controller that never owns a zone's shard forgot none of its former owners, since only the question whether they have ended forgot old ones; noting an assignment does, too. The question is not asked again once it was answered with yes.

--- a/src/cloverplank/shard/evictions.py
+++ b/src/cloverplank/shard/evictions.py
@@ -53,7 +53,7 @@
         if machine is None:
             return "not in the shard"
         now = self._state.clock.monotonic()
-        expires_at = machine.tasks_expire_at(self._state.limits.lease_s, self._state.ownership.unfenced_expiry_at)
+        expires_at = self._state.tasks_expire_at(machine)
         return (
             f"{'fenced' if machine.fenced else 'not fenced'}, shown token {machine.token or 0} in incarnation "
             f"{machine.incarnation}, lease expires in {expires_at - now:.1f} s"
--- a/src/cloverplank/shard/former_owners.py
+++ b/src/cloverplank/shard/former_owners.py
@@ -53,6 +53,7 @@
             self._note_assignment(key, self._zones[key])
 
     def _note_assignment(self, key: str, zone: Zone) -> None:
+        self._forget_old(zone)
         owners = self._owners[zone]
         now = self._clock.monotonic()
         for owner in owners.values():
--- a/src/cloverplank/shard/heartbeat_intake.py
+++ b/src/cloverplank/shard/heartbeat_intake.py
@@ -86,7 +86,7 @@
         of, so there are none until that lease has certainly expired.
         """
         has_tasks = machine.health is not Health.TAINTED and bool(self._state.store.jobs_on(machine.id))
-        expiry_at = machine.tasks_expire_at(self._state.limits.lease_s, self._ownership.unfenced_expiry_at)
+        expiry_at = self._state.tasks_expire_at(machine)
         if has_tasks or now < expiry_at:
             raise HeartbeatRefusedError(machine.id, HeartbeatRefusal.RESPONSES_LOST)
 
--- a/src/cloverplank/shard/liveness.py
+++ b/src/cloverplank/shard/liveness.py
@@ -102,7 +102,7 @@
         if (
             machine.health is not Health.TAINTED
             and silent_s >= limits.taint_after_s
-            and now >= machine.tasks_expire_at(limits.lease_s, state.ownership.unfenced_expiry_at)
+            and now >= state.tasks_expire_at(machine)
         ):
             self._taint(machine, silent_s)
         if machine.is_unreachable():
--- a/src/cloverplank/shard/owned_shards.py
+++ b/src/cloverplank/shard/owned_shards.py
@@ -108,7 +108,7 @@
     def watch_former_owners(self) -> None:
         """Find out when no former owner answers workers any more."""
         for zone, shard in self.shards.items():
-            if self._former_owners.have_ended(zone):
+            if not shard.ownership.former_owners_ended and self._former_owners.have_ended(zone):
                 shard.ownership.mark_former_owners_ended()
 
     def _acquire(self, zone: Zone, token: FencingToken) -> None:
--- a/src/cloverplank/shard/state.py
+++ b/src/cloverplank/shard/state.py
@@ -75,6 +75,10 @@
             machine.last_contact_at = now
         return machine
 
+    def tasks_expire_at(self, machine: Machine) -> MonotonicTime:
+        """Return when the machine's tasks have certainly ended if it stays silent."""
+        return machine.tasks_expire_at(self.limits.lease_s, self.ownership.unfenced_expiry_at)
+
     def heartbeat_age_s(self, machine: Machine, now: MonotonicTime) -> float:
         """Return for how long no heartbeat has come, beyond the time that workers have to find a new owner."""
         return now - max(
--- a/tests/shard/test_former_owners.py
+++ b/tests/shard/test_former_owners.py
@@ -14,17 +14,18 @@
 from cloverplank.basic_types import Clock, LeaseId, ModRevision, Zone
 from cloverplank.controller.composition import Controller
 from cloverplank.kvstore import keys
+from cloverplank.leader.shard_assignment import SMALL_CPU_CORES
 from cloverplank.records.cluster import NodeRecord, ShardRecord
 from cloverplank.settings.platform import parse_platform
 from cloverplank.shard.shard import Shard
-from tests.simulation.actions import leader, shard_owner
+from tests.simulation.actions import decline_assignments, leader, shard_owner
 from tests.simulation.day import check
 from tests.simulation.link import Link
 from tests.simulation.loop import run
 from tests.simulation.world import World
 
 ZONE = Zone("zone-0")
-SMALL_CPU = 0.2
+SMALL_CPU = SMALL_CPU_CORES / 2  # leader and shard owner are two controllers
 OWN_LEASE = LeaseId(50)
 WARM_UP_S = 40.0  # from a controller's start until it knows every owner that may still be running
 
@@ -172,14 +173,14 @@
     world.boot("large", ZONE, spot=False)
     await asyncio.sleep(14.0)
     world.cloud.down = True
-    _decline(world, third, 6.5)
+    decline_assignments(world, third, 6.5)
     world.controllers[third][0].scheduling_loop.pause_after = lambda took_s: 10.0
     await asyncio.sleep(1.3)  # the others have heard so
     world.crash(first)
     while not world.controllers[second][0].shards:
         await asyncio.sleep(0.02)
     world.start(first)
-    _decline(world, first, 60.0)
+    decline_assignments(world, first, 60.0)
     world.cut(second, "state")
     for machine in world.machines.values():
         world.cut(third if machine in workers else second, machine.id)
@@ -190,11 +191,6 @@
     await asyncio.sleep(30.0)
 
 
-def _decline(world: World, label: str, seconds: float) -> None:
-    lease = world.controllers[label][0].controller_lease
-    lease.declines_assignments_until = lease._clock.monotonic() + seconds
-
-
 # A task ran twice: the owner of a shard did not know of one that its assignment came after.
 @pytest.mark.parametrize("seed", range(3))
 def test_no_task_runs_twice_if_an_owner_came_and_went_between_two_cycles_of_the_next(seed: int) -> None:
--- a/tests/simulation/actions.py
+++ b/tests/simulation/actions.py
@@ -41,6 +41,12 @@
         world.loop.call_later(seconds, setattr, machine, "hung", False)
 
 
+def decline_assignments(world: World, label: str, seconds: float) -> None:
+    """Have a controller acquire neither leadership nor shards for so many seconds."""
+    lease = world.controllers[label][0].controller_lease
+    lease.declines_assignments_until = lease._clock.monotonic() + seconds
+
+
 def lengthen_tasks(world: World, every: int = 2) -> None:
     """Make every `every`-th job run for longer than any fault lasts."""
     for number, job in enumerate(sorted(world.durations)):
--- a/tests/simulation/test_start_faults.py
+++ b/tests/simulation/test_start_faults.py
@@ -8,15 +8,16 @@
 import pytest
 
 from cloverplank.kvstore import keys
+from cloverplank.leader.shard_assignment import SMALL_CPU_CORES
 from cloverplank.net.messages import Response
 from tests.membership.scenarios import DETECTOR_ENABLED
-from tests.simulation.actions import leader, shard_owner
+from tests.simulation.actions import decline_assignments, leader, shard_owner
 from tests.simulation.day import check
 from tests.simulation.loop import run
 from tests.simulation.world import World
 
 ZONE = "zone-0"
-SMALL_CPU = 0.2  # leader and shard owner are two controllers
+SMALL_CPU = SMALL_CPU_CORES / 2  # leader and shard owner are two controllers
 SHARDS_READ = f"/keys?under={keys.SHARDS}"  # the first read of a load
 
 
@@ -71,8 +72,7 @@
     owner = shard_owner(world)
     for label in world.labels:
         if label not in (owner, world.slow):
-            lease = world.controllers[label][0].controller_lease
-            lease.declines_assignments_until = lease._clock.monotonic() + 60.0
+            decline_assignments(world, label, 60.0)
     await asyncio.sleep(2.0)
     if loss.refused:
         world.state.refused_clients = {owner}
