--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Parts shared by the cases of the review."""
