Log why allocated tasks are not placed

Cause: a task that the leader has allocated to a zone and that its shard owner never places left no trace in the logs, so none of these could be told apart: the job backs off, a placement is pending, its record is full, the machine is excluded after a failure, its capacity is kept as headroom, or there is none.

Change: a shard owner logs each wait of 15 s or more once, with the reason, which is computed only for that line. Waits because no machine has capacity are at level debug, since a backlog consists of them.

--- a/src/cloverplank/shard/placement.py
+++ b/src/cloverplank/shard/placement.py
@@ -13,7 +13,7 @@
 from cloverplank.jobs.store import CachedJob, Decision
 from cloverplank.kvstore.transaction_priority import TransactionPriority
 from cloverplank.records.zones import ZoneHealth
-from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity
+from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity, fit_count
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.queue import QueuedJob
 from cloverplank.shard.capacity import ShardCapacity
@@ -24,6 +24,8 @@
 from cloverplank.shard.shard_types import CHECKPOINT_MARGIN_S, refs_of_run
 from cloverplank.shard.state import ShardState
 from cloverplank.shard.task_stops import TaskStops
+from cloverplank.shard.waiting_jobs import WaitingJobs, WaitReason
+from cloverplank.wire.users import JobSpec
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +44,10 @@
     unreserved: CapacityIndex  # the total less the headroom for job classes that should start at once
     headroom: Headroom
 
+    def usable_by(self, spec: JobSpec) -> tuple[CapacityIndex, CapacityIndex]:
+        """Return the index that a job may use, and the other one, which must be kept in step."""
+        return (self.total, self.unreserved) if self.headroom.serves(spec) else (self.unreserved, self.total)
+
 
 class PlacementCycle:
     """Places the jobs of one shard in each scheduling cycle."""
@@ -64,6 +70,7 @@
         self._turnover = turnover
         self._throttle: RecoveryThrottle | None = None  # set while the zone is recovering
         self._arrays_placed_at = NEVER
+        self._waiting = WaitingJobs(state.zone, state.clock)
         self.replicas_lack_capacity = False  # as of the last cycle
 
     def run(self, queued_jobs: list[QueuedJob], headroom: Headroom) -> None:
@@ -123,32 +130,72 @@
         zone = self._state.zone
         record, spec = queued_job.record, queued_job.record.spec
         wanted = min(record.allocation.get(zone, 0) - record.placed(zone), record.missing_count())
-        if wanted <= 0 or self._failures.is_backing_off(record.id, now) or view.has_pending(Decision.PLACEMENT):
+        if wanted <= 0:
             return 0
-        if spec.gang and (record.runs or wanted < record.missing_count()):
-            self._stop_gang(view)  # the remaining tasks are stopped before the gang starts again as a whole
+        obstacle = self._obstacle(view, record, wanted, now)
+        if obstacle is not None:
+            self._record_wait(record, wanted, lambda: obstacle)
             return 0
-        max_runs = self._state.limits.size_limits.remaining_runs(record)
-        if max_runs <= 0:
-            return 0  # the record has reached its size limit; the job continues as tasks end
         max_starts = wanted if self._throttle is None else self._throttle.allowed_starts(wanted, gang=spec.gang)
         if max_starts <= 0:
+            self._record_wait(record, wanted, lambda: WaitReason.ZONE_RECOVERING)
             return wanted
-        usable, other = capacity.unreserved, capacity.total
-        if capacity.headroom.serves(spec):
-            usable, other = other, usable
-        if spec.gang and usable.count_fitting(spec, zone, wanted, urgent=queued_job.urgent) < wanted:
-            return wanted
-        max_placed = wanted if spec.gang else min(wanted, max_starts, MAX_PLACED_PER_CYCLE)
+        placed = self._fill(view, queued_job, capacity, max_starts)
+        if placed < wanted:
+            self._record_wait(record, wanted - placed, lambda: self._capacity_wait_reason(queued_job, capacity))
+        else:
+            self._waiting.remove(record.id)
+        return wanted - placed
+
+    def _obstacle(
+        self, view: CachedJob, record: records.JobRecord, wanted: int, now: MonotonicTime
+    ) -> WaitReason | None:
+        """Return why no task of a job may be placed in this cycle, whatever the capacity, or None."""
+        if self._failures.is_backing_off(record.id, now):
+            return WaitReason.BACKING_OFF
+        if view.has_pending(Decision.PLACEMENT):
+            return WaitReason.PLACEMENT_PENDING
+        if record.spec.gang and (record.runs or wanted < record.missing_count()):
+            self._stop_gang(view)  # the remaining tasks are stopped before the gang starts again as a whole
+            return WaitReason.GANG_STOPPING
+        if self._state.limits.size_limits.remaining_runs(record) <= 0:
+            return WaitReason.RECORD_FULL  # the job continues as tasks end
+        return None
+
+    def _fill(self, view: CachedJob, queued_job: QueuedJob, capacity: CycleCapacity, max_starts: int) -> int:
+        """Stage the placement of as many tasks of a job as fit, at most `max_starts`; return how many are placed."""
+        zone = self._state.zone
+        record, spec = queued_job.record, queued_job.record.spec
+        usable, other = capacity.usable_by(spec)
+        if spec.gang and usable.count_fitting(spec, zone, max_starts, urgent=queued_job.urgent) < max_starts:
+            return 0
+        max_placed = max_starts if spec.gang else min(max_starts, MAX_PLACED_PER_CYCLE)
         placements = usable.fill(
             record, zone, max_placed, urgent=queued_job.urgent, allowed=self._machine_filter(queued_job)
         )
+        max_runs = self._state.limits.size_limits.remaining_runs(record)
         if len(placements) > max_runs and not spec.gang:
             # Keep the largest runs: a record above the size limit would be rejected as a whole again and again.
             placements = sorted(placements, key=lambda placement: -placement.count)[:max_runs]
         for placement in placements:
             other.allocate(placement.machine, spec, placement.count)
-        return wanted - (self._stage(view, queued_job, placements) if placements else 0)
+        return self._stage(view, queued_job, placements) if placements else 0
+
+    def _record_wait(self, record: records.JobRecord, tasks: int, reason: Callable[[], WaitReason]) -> None:
+        """Record that tasks of a job are not placed; `reason` is called only if the wait is to be logged."""
+        if self._waiting.record(record.id):
+            self._waiting.log_wait(record.id, tasks, reason())
+
+    def _capacity_wait_reason(self, queued_job: QueuedJob, capacity: CycleCapacity) -> WaitReason:
+        """Return why a job found no capacity in this cycle."""
+        spec = queued_job.record.spec
+        usable, _ = capacity.usable_by(spec)
+        avoided = [usable.by_name.get(name) for name in self._failures.machines_failed_on(queued_job.record.id)]
+        if any(machine is not None and fit_count(spec, machine) > 0 for machine in avoided):
+            return WaitReason.FAILED_MACHINES
+        if capacity.total.count_fitting(spec, self._state.zone, 1, urgent=queued_job.urgent):
+            return WaitReason.HEADROOM if self._throttle is None else WaitReason.ZONE_RECOVERING
+        return WaitReason.NO_CAPACITY
 
     def _stage(self, view: CachedJob, queued_job: QueuedJob, placements: list[records.Placement]) -> int:
         """Stage the placements of a job, and return how many tasks they place."""
