Let a job use the machine again on which it failed, after a pause

Cause: FailureTracker excluded the machine for as long as the shard was owned, unless the job had failed on three; the leader counted its capacity as the job's. The exclusion was a filter beside the capacity index, so gangs were counted and tasks preempted on excluded machines. The backoff grew with the machines, not with the failures, so it would have stayed at 1 s once the exclusion is gone.

Change: FailureHistory replaces FailureTracker. What a job avoids is part of CapacityIndex, so placement, gangs, consolidation and preemption agree.

--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -30,6 +30,7 @@
 from cloverplank.membership.failure_detector import FailureDetector, WorkerCounts
 from cloverplank.membership.gossip import PeerGossip
 from cloverplank.net.messages import HttpClient
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.objectives import ServiceLevelObjectives
 from cloverplank.settings.operator import OperatorSettings
@@ -98,6 +99,7 @@
         self._machine_types = MachineTypeCatalog(self._cloud, self.controller_lease, self.watch_cache, self.queue)
         self.registry = MachineRegistry(environment.clock)
         self._draining = DrainingMachines(self.watch_cache)
+        self.failures = FailureHistory(environment.clock, int(operator.faulty_errors))
         self.headroom = Headroom(
             environment.classes_with_headroom(), operator.headroom_factor, operator.headroom_least_tasks
         )
@@ -277,6 +279,7 @@
             draining=self._draining,
             request_cycle=self.request_cycle,
             meter=environment.meter,
+            failures=self.failures,
         )
         return Shard(
             zone,
@@ -334,6 +337,7 @@
             "final states": len(self.watch_cache.finals),
             "deleted keys": len(self.watch_cache.deleted),
             "machines": len(self.registry.entries),
+            "failing jobs": len(self.failures),
             "own machines": sum(len(shard.machines) for shard in self.shards.values()),
             "queued transactions": self.queue.backlog(),
         }
--- a/src/cloverplank/controller/environment.py
+++ b/src/cloverplank/controller/environment.py
@@ -119,6 +119,5 @@
             size_limits=size_limits,
             write_rps=self.store_limits.write_rps,
             eviction_limit_ms=int(operator.eviction_limit_s * MS_PER_SECOND),
-            faulty_errors=int(operator.faulty_errors),
             probe_after_s=operator.release_silent_reports * interval_s,
         )
--- a/src/cloverplank/scheduling/capacity.py
+++ b/src/cloverplank/scheduling/capacity.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from cloverplank.basic_types import MachineId, Zone
+from cloverplank.basic_types import JobId, MachineId, Zone
 from cloverplank.jobs.records import JobRecord, Placement
 from cloverplank.wire.users import JobSpec
 
@@ -84,14 +84,17 @@
         capacities: Iterable[FreeCapacity],
         min_cpus: float = 0.0,
         may_use_reserved: Callable[[JobSpec], bool] = lambda spec: True,
+        avoided_machines: Callable[[JobId], Collection[MachineId]] = lambda job: (),
     ) -> None:
         """Index the machines' free capacity.
 
         `min_cpus`: machines with fewer free cpus are skipped, since no task of this cycle can use them.
-        `may_use_reserved`: returns whether a job may use reserved capacity.
+        `may_use_reserved`: returns whether a job may use reserved capacity. `avoided_machines`: returns the machines
+        that a job may not use for now although they have capacity.
         """
         self._min_cpus = min_cpus
         self._may_use_reserved = may_use_reserved
+        self._avoided_machines = avoided_machines
         self.by_name: dict[MachineId, FreeCapacity] = {
             capacity.machine: capacity for capacity in capacities if capacity.cpus + EPSILON >= min_cpus
         }
@@ -114,7 +117,9 @@
 
     def _with_capacities(self, capacities: Iterable[FreeCapacity]) -> CapacityIndex:
         """Return an index of other capacities for the same cycle, including those that have become full."""
-        result = CapacityIndex(capacities, may_use_reserved=self._may_use_reserved)
+        result = CapacityIndex(
+            capacities, may_use_reserved=self._may_use_reserved, avoided_machines=self._avoided_machines
+        )
         result._min_cpus = self._min_cpus
         return result
 
@@ -173,6 +178,7 @@
             if _at_least_as_demanding(spec, other):
                 return
         cpus, memory_gb = spec.cpus - EPSILON, spec.memory_gb - EPSILON
+        avoided = self.avoided_machines(spec)
         self._remove_full()
         found = False
         for capacity in self._in_packing_order(spec, zone):
@@ -183,13 +189,18 @@
                 and (may_use_reserved or not capacity.reserved)
                 and fit_count(spec, capacity) > 0
             ):
-                found = True
-                yield capacity
+                found = True  # by other jobs of this size, even if this one avoids the machine
+                if capacity.machine not in avoided:
+                    yield capacity
             elif self._is_full(capacity):
                 self._full_visits += 1
         if not found:
             unplaceable.append(spec)
 
+    def avoided_machines(self, spec: JobSpec) -> Collection[MachineId]:
+        """Return the machines that a job may not use for now although they may have capacity."""
+        return self._avoided_machines(JobId(spec.id))
+
     def count_fitting(self, spec: JobSpec, zone: Zone, max_tasks: int, *, urgent: bool = True) -> int:
         """Return for how many tasks of a job the zone has capacity, at most `max_tasks`."""
         tasks = 0
--- a/src/cloverplank/shard/capacity.py
+++ b/src/cloverplank/shard/capacity.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from cloverplank.scheduling.capacity import EPSILON, CapacityIndex
 from cloverplank.scheduling.capacity_cache import CapacityCache
 from cloverplank.shard.machine import Health, Machine
@@ -12,14 +10,10 @@
 
 
 class ShardCapacity:
-    """Builds an index of free capacity for one scheduling decision.
-
-    `is_faulty`: returns whether task failures on a machine are attributed to the machine itself.
-    """
+    """Builds an index of free capacity for one scheduling decision."""
 
-    def __init__(self, state: ShardState, is_faulty: Callable[[Machine], bool]) -> None:
+    def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._is_faulty = is_faulty
         self._cache = CapacityCache(state.store)
 
     def index(self, min_cpus: float = 0.0) -> CapacityIndex:
@@ -27,6 +21,7 @@
         state = self._state
         machine_types = state.machine_types()
         restricts_admission = state.plan.restricts_admission(state.zone)
+        is_faulty = state.failures.is_faulty
         free_capacities = []
         for machine in state.machines.values():
             machine_type = machine_types.get(machine.type)
@@ -34,7 +29,7 @@
                 continue
             if state.store.load(machine.id).cpus + min_cpus > machine_type.cpus + EPSILON:
                 continue  # too few free cpus, which is true of most machines under a backlog
-            if machine.id in state.draining or self._is_faulty(machine) or machine.id in state.emptying:
+            if machine.id in state.draining or is_faulty(machine.id) or machine.id in state.emptying:
                 continue
             if restricts_admission and not self._is_reconciled(machine):
                 continue
@@ -43,7 +38,7 @@
             )
             capacity.reserved = restricts_admission and not self._is_admitted(machine)
             free_capacities.append(capacity)
-        return CapacityIndex(free_capacities, min_cpus, state.plan.may_use_reserved)
+        return CapacityIndex(free_capacities, min_cpus, state.plan.may_use_reserved, state.failures.avoided_machines)
 
     def _is_admitted(self, machine: Machine) -> bool:
         """Return whether a machine in a zone that is recovering from a loss accepts any new tasks."""
--- a/src/cloverplank/shard/machine.py
+++ b/src/cloverplank/shard/machine.py
@@ -75,7 +75,6 @@
     unresolved: dict[TaskRef, UnresolvedStart] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # sizes in GB by name, the most recently used last
     known_images: frozenset[str] = frozenset()  # the names in `images`
-    failed_jobs: set[str] = field(default_factory=set)
     probing: bool = False
     lost_since: MonotonicTime | None = None  # when it was last marked as lost: silent, and no probe response
     sending: bool = False  # a command request is in flight
--- a/src/cloverplank/shard/owned_shards.py
+++ b/src/cloverplank/shard/owned_shards.py
@@ -189,7 +189,7 @@
     health = machine.health.value  # as encoded in gossip
     if machine.lost_since is not None:
         health = HEALTH_LOST
-    elif shard.failures.is_faulty(machine):
+    elif shard.state.failures.is_faulty(machine.id):
         health = HEALTH_FAULTY
     return MachineGossip(
         machine.id,
--- a/src/cloverplank/shard/placement.py
+++ b/src/cloverplank/shard/placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from msgspec import Struct
 
@@ -17,7 +17,6 @@
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.queue import QueuedJob
 from cloverplank.shard.capacity import ShardCapacity
-from cloverplank.shard.failures import FailureTracker
 from cloverplank.shard.preemption import Preemption, TurnoverRate, UnplacedTasks
 from cloverplank.shard.record_changes import RecordChanges
 from cloverplank.shard.recovery_throttle import RecoveryThrottle
@@ -34,7 +33,6 @@
 ARRAYS_INTERVAL_PER_MACHINE_S = 0.002
 MAX_ARRAYS_INTERVAL_S = 0.5
 MAX_PLACED_PER_CYCLE = 400  # tasks of each job
-MIN_FAILED_MACHINES_TO_RETRY = 3  # a job that failed on this many machines may use any machine
 
 
 class CycleCapacity(Struct, eq=False):
@@ -58,14 +56,12 @@
         *,
         changes: RecordChanges,
         capacity: ShardCapacity,
-        failures: FailureTracker,
         stops: TaskStops,
         turnover: TurnoverRate,
     ) -> None:
         self._state = state
         self._changes = changes
         self._capacity = capacity
-        self._failures = failures
         self._stops = stops
         self._turnover = turnover
         self._throttle: RecoveryThrottle | None = None  # set while the zone is recovering
@@ -76,8 +72,7 @@
     def run(self, queued_jobs: list[QueuedJob], headroom: Headroom) -> None:
         """Place tasks that the leader allocated to this zone, in order, and preempt for those that lack capacity."""
         state = self._state
-        now = state.clock.monotonic()
-        jobs = self._jobs_to_place(queued_jobs, now)
+        jobs = self._jobs_to_place(queued_jobs, state.clock.monotonic())
         self.replicas_lack_capacity = False
         is_recovering = state.plan.health(state.zone) is ZoneHealth.RECOVERING
         self._throttle = RecoveryThrottle(state) if is_recovering else None
@@ -89,7 +84,7 @@
         unplaced: list[UnplacedTasks] = []
         for queued_job, view in jobs:
             try:
-                count = self._place_job(view, queued_job, capacity, now)
+                count = self._place_job(view, queued_job, capacity)
             except Exception:  # a software fault that one job triggers must not block the others
                 log.exception("placement of job %s in zone %s failed", view.id, state.zone)
                 continue
@@ -125,14 +120,14 @@
                 jobs.append((queued_job, view))
         return jobs
 
-    def _place_job(self, view: CachedJob, queued_job: QueuedJob, capacity: CycleCapacity, now: MonotonicTime) -> int:
+    def _place_job(self, view: CachedJob, queued_job: QueuedJob, capacity: CycleCapacity) -> int:
         """Place as many tasks of a job as fit; return how many lack capacity."""
         zone = self._state.zone
         record, spec = queued_job.record, queued_job.record.spec
         wanted = min(record.allocation.get(zone, 0) - record.placed(zone), record.missing_count())
         if wanted <= 0:
             return 0
-        obstacle = self._obstacle(view, record, wanted, now)
+        obstacle = self._obstacle(view, record, wanted)
         if obstacle is not None:
             self._record_wait(record, wanted, lambda: obstacle)
             return 0
@@ -147,11 +142,9 @@
             self._waiting.remove(record.id)
         return wanted - placed
 
-    def _obstacle(
-        self, view: CachedJob, record: records.JobRecord, wanted: int, now: MonotonicTime
-    ) -> WaitReason | None:
+    def _obstacle(self, view: CachedJob, record: records.JobRecord, wanted: int) -> WaitReason | None:
         """Return why no task of a job may be placed in this cycle, whatever the capacity, or None."""
-        if self._failures.is_backing_off(record.id, now):
+        if self._state.failures.is_backing_off(record.id):
             return WaitReason.BACKING_OFF
         if view.has_pending(Decision.PLACEMENT):
             return WaitReason.PLACEMENT_PENDING
@@ -170,9 +163,7 @@
         if spec.gang and usable.count_fitting(spec, zone, max_starts, urgent=queued_job.urgent) < max_starts:
             return 0
         max_placed = max_starts if spec.gang else min(max_starts, MAX_PLACED_PER_CYCLE)
-        placements = usable.fill(
-            record, zone, max_placed, urgent=queued_job.urgent, allowed=self._machine_filter(queued_job)
-        )
+        placements = self._allocate(queued_job, usable, max_placed)
         max_runs = self._state.limits.size_limits.remaining_runs(record)
         if len(placements) > max_runs and not spec.gang:
             # Keep the largest runs: a record above the size limit would be rejected as a whole again and again.
@@ -181,6 +172,18 @@
             other.allocate(placement.machine, spec, placement.count)
         return self._stage(view, queued_job, placements) if placements else 0
 
+    def _allocate(self, queued_job: QueuedJob, usable: CapacityIndex, max_tasks: int) -> list[records.Placement]:
+        """Allocate capacity for up to `max_tasks` tasks, last on machines on which the job failed before."""
+        record, zone = queued_job.record, self._state.zone
+        suspected = self._state.failures.suspected_machines(record.id)
+        allowed = self._machine_filter(record.spec.image, suspected)
+        placements = usable.fill(record, zone, max_tasks, urgent=queued_job.urgent, allowed=allowed)
+        if suspected:
+            max_tasks -= sum(placement.count for placement in placements)
+            allowed = self._machine_filter(record.spec.image, ())
+            placements += usable.fill(record, zone, max_tasks, urgent=queued_job.urgent, allowed=allowed)
+        return placements
+
     def _record_wait(self, record: records.JobRecord, tasks: int, reason: Callable[[], WaitReason]) -> None:
         """Record that tasks of a job are not placed; `reason` is called only if the wait is to be logged."""
         if self._waiting.record(record.id):
@@ -190,7 +193,7 @@
         """Return why a job found no capacity in this cycle."""
         spec = queued_job.record.spec
         usable, _ = capacity.usable_by(spec)
-        avoided = [usable.by_name.get(name) for name in self._failures.machines_failed_on(queued_job.record.id)]
+        avoided = [usable.by_name.get(name) for name in usable.avoided_machines(spec)]
         if any(machine is not None and fit_count(spec, machine) > 0 for machine in avoided):
             return WaitReason.FAILED_MACHINES
         if capacity.total.count_fitting(spec, self._state.zone, 1, urgent=queued_job.urgent):
@@ -209,15 +212,12 @@
         self._changes.stage(view, change, TransactionPriority.PLACE, decision=Decision.PLACEMENT)
         return count
 
-    def _machine_filter(self, queued_job: QueuedJob) -> Callable[[FreeCapacity], bool] | None:
-        """Return a filter for the machines with capacity that a job may use, or None if it may use all of them."""
+    def _machine_filter(self, image: str, excluded: Collection[MachineId]) -> Callable[[FreeCapacity], bool] | None:
+        """Return a filter for machines that are not excluded and may start the image, or None if all may be used."""
         throttle = self._throttle
-        image = queued_job.record.spec.image
-        failed_on = self._failures.machines_failed_on(queued_job.record.id)
-        avoided = failed_on if len(failed_on) < MIN_FAILED_MACHINES_TO_RETRY else ()
         if throttle is not None:
-            return lambda capacity: capacity.machine not in avoided and throttle.may_use(capacity, image)
-        return (lambda capacity: capacity.machine not in avoided) if avoided else None
+            return lambda capacity: capacity.machine not in excluded and throttle.may_use(capacity, image)
+        return (lambda capacity: capacity.machine not in excluded) if excluded else None
 
     def _stop_gang(self, view: CachedJob) -> None:
         """Stop the remaining tasks of a gang that lost a member, after a checkpoint."""
--- a/src/cloverplank/shard/preemption.py
+++ b/src/cloverplank/shard/preemption.py
@@ -158,10 +158,11 @@
     def _preempt_for(self, tasks: UnplacedTasks, capacities: dict[MachineId, FreeCapacity]) -> None:
         spec = tasks.queued_job.record.spec
         missing = tasks.count
+        avoided = self._state.failures.avoided_machines(tasks.queued_job.record.id)
         for machine in self._state.machines.values():
             if missing <= 0:
                 break
-            capacity = capacities.get(machine.id)
+            capacity = None if machine.id in avoided else capacities.get(machine.id)
             if capacity is None or not matches_constraints(spec, machine.type, self._state.zone, spot=machine.spot):
                 continue
             if machine.id not in self._victims:
--- a/src/cloverplank/shard/shard.py
+++ b/src/cloverplank/shard/shard.py
@@ -10,7 +10,6 @@
 from cloverplank.shard.capacity import ShardCapacity
 from cloverplank.shard.consolidation import Consolidation
 from cloverplank.shard.evictions import Evictions
-from cloverplank.shard.failures import FailureTracker
 from cloverplank.shard.heartbeat_processor import HeartbeatProcessor
 from cloverplank.shard.liveness import LivenessTracker
 from cloverplank.shard.lost_machines import LostMachines
@@ -38,13 +37,12 @@
         self.zone = zone
         self.ownership = state.ownership
         self.machines = state.machines
-        self.failures = FailureTracker(state)
         self.task_reconciler = TaskReconciler(state, services.http, services.meter, self._apply_command_response)
         changes = RecordChanges(state, services.queue)
         self._evictions = Evictions(state, changes)
         stops = TaskStops(state, self.task_reconciler.send_due_commands)
         turnover = TurnoverRate(state.clock)
-        capacity = ShardCapacity(state, self.failures.is_faulty)
+        capacity = ShardCapacity(state)
         self._lost_machines = LostMachines(state)
         self._prober = Prober(state, self.task_reconciler.send, self._lost_machines)
         self._liveness = LivenessTracker(
@@ -54,14 +52,12 @@
             stops=stops,
             evict=self._evictions.evict,
         )
-        self._placement = PlacementCycle(
-            state, changes=changes, capacity=capacity, failures=self.failures, stops=stops, turnover=turnover
-        )
+        self._placement = PlacementCycle(state, changes=changes, capacity=capacity, stops=stops, turnover=turnover)
         self._consolidation = Consolidation(state, capacity=capacity, stops=stops)
         self.heartbeat_processor = HeartbeatProcessor(
             state,
             task_reconciler=self.task_reconciler,
-            outcomes=TaskOutcomes(state, changes, self.failures, turnover.record_freed),
+            outcomes=TaskOutcomes(state, changes, turnover.record_freed),
             start_probe=self._prober.start_probe,
         )
         self.on_heartbeat = self.heartbeat_processor.on_heartbeat  # bound here to save each heartbeat another call
--- a/src/cloverplank/shard/shard_types.py
+++ b/src/cloverplank/shard/shard_types.py
@@ -45,7 +45,6 @@
     size_limits: RecordSizeLimits
     write_rps: float
     eviction_limit_ms: int
-    faulty_errors: int
     probe_after_s: float
 
 
--- a/src/cloverplank/shard/state.py
+++ b/src/cloverplank/shard/state.py
@@ -11,6 +11,7 @@
 from cloverplank.kvstore.transaction_queue import TransactionQueue
 from cloverplank.load_meter import LoadMeter
 from cloverplank.net.messages import HttpClient
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.shard.machine import Machine
 from cloverplank.shard.ownership import ShardOwnership
 from cloverplank.shard.shard_types import ShardLimits, StopRequest, TaskState
@@ -39,6 +40,7 @@
     draining: DrainingMachines
     request_cycle: Callable[[], None]
     meter: LoadMeter
+    failures: FailureHistory
 
 
 class ShardState:
@@ -55,6 +57,7 @@
         self.machine_types = services.machine_types
         self.draining = services.draining
         self.request_cycle = services.request_cycle
+        self.failures = services.failures
         self.may_start = may_start
         self.ownership = ShardOwnership(zone, token, services.clock, services.limits)
         self.machines: dict[MachineId, Machine] = {}
--- a/src/cloverplank/shard/task_outcomes.py
+++ b/src/cloverplank/shard/task_outcomes.py
@@ -10,7 +10,6 @@
 from cloverplank.jobs.records import Phase, TaskExit
 from cloverplank.jobs.store import CachedJob
 from cloverplank.kvstore.transaction_priority import TransactionPriority
-from cloverplank.shard.failures import FailureTracker
 from cloverplank.shard.machine import Machine
 from cloverplank.shard.record_changes import RecordChanges
 from cloverplank.shard.shard_types import ExitReason, TaskState, placed_refs
@@ -37,12 +36,10 @@
         self,
         state: ShardState,
         changes: RecordChanges,
-        failures: FailureTracker,
         record_freed_cpus: Callable[[float], None],
     ) -> None:
         self._state = state
         self._changes = changes
-        self._failures = failures
         self._record_freed_cpus = record_freed_cpus
 
     def stage_exits(self, machine: Machine) -> None:
@@ -74,7 +71,9 @@
         if not view.record.spec.service:
             self._record_freed_cpus(view.record.spec.cpus)
         if task.reason == ExitReason.ERROR:
-            self._failures.record(machine, ref.job)
+            self._state.failures.record_failure(ref.job, machine.id)
+        elif task.reason == ExitReason.DONE:
+            self._state.failures.record_success(ref.job, machine.id)
         self._state.stops.pop(ref, None)
         log.debug("task %s attempt %d on machine %s ended: %s", ref.name, ref.attempt, machine.id, task.reason)
         return TaskExit(ref.index, ref.attempt, machine.id, task.reason == ExitReason.DONE)
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -131,3 +131,15 @@
     placements = capacity_index.fill(record, ZONE, 20, urgent=urgent)
     assert {placement.machine for placement in placements} == expected
     assert len(placements) == len(expected)
+
+
+def test_avoided_machine_is_not_counted_for_the_job_that_avoids_it_and_stays_open_to_others() -> None:
+    """Guards against a gang planned on a machine that it then can't use, and against others passed over with it."""
+    index = CapacityIndex(
+        [FreeCapacity(MachineId("m-0"), **BUSY_MACHINE)],
+        avoided_machines=lambda job: [MachineId("m-0")] if job == "run-000001" else [],
+    )
+    avoiding, other = (spec(id=f"run-00000{number}", **ON_DEMAND_JOB) for number in (1, 2))
+    assert index.count_fitting(avoiding, ZONE, 2) == 0
+    assert index.copy().fill(JobRecord(avoiding, WallTimeMs(0)), ZONE, 2) == []
+    assert index.count_fitting(other, ZONE, 2) == 2
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -155,7 +155,9 @@
         self.changed.set()
 
     def _complete(self, task: Task) -> None:
-        if self.world.jobs[task.job]["shape"] != "service":
+        if self.world.fails(self, task):
+            self.end_task(task, "error")
+        elif self.world.jobs[task.job]["shape"] != "service":
             self.world.done_tasks.add(task.name)
             self.end_task(task, "done")
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from cloverplank.basic_types import Clock
@@ -22,7 +22,7 @@
 from tests.simulation.recovery import RecoveryChecks
 from tests.simulation.rules import Rules
 from tests.simulation.transport import SimulatedTransport
-from tests.simulation.worker import Machine
+from tests.simulation.worker import Machine, Task
 
 STEP_S = 0.1  # the interval at which machines are stepped
 STEPS_PER_SWEEP = 10  # steps between snapshots of the cloud's list and checks of cancelled jobs
@@ -134,6 +134,8 @@
         self.controllers: dict[str, tuple[Controller, asyncio.Task]] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.faults = MessageFaults()
+        # Returns whether a task that has run for its time fails; for replicas of services, too.
+        self.fails: Callable[[Machine, Task], bool] = lambda machine, task: False
         self.tasks: set[asyncio.Task] = set()
         for label in self.labels:
             self.start(label)
