Tell leader and later owners on which machines a job failed

Symptom: with one usable machine that is faulty and one job, the job was tried on that machine only; no other machine was provisioned, nor one of another zone used.

Cause: the failures were known to the shard owner alone, and ended with its ownership. The leader counted the machine's capacity as the job's, so there was no unmet demand; a new owner began with short pauses again.

Change: one FailureHistory for each controller, fed by its own shards and by the gossip of the machines' owners. From the second failure in succession the leader does not count the machine for that job while the job avoids it; a job that fails on three machines is at fault itself and gets no further ones.

The other way, to name a machine faulty after a few failures of one job, was not taken: one user's broken job would take machines away from others.

--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -117,6 +117,7 @@
             watch_cache=self.watch_cache,
             queue=self.queue,
             registry=self.registry,
+            failures=self.failures,
             limits=self._shard_limits,
             make_shard=self._make_shard,
         )
@@ -144,6 +145,7 @@
             queue=self.queue,
             store=self.store,
             registry=self.registry,
+            failures=self.failures,
             owned=self.owned,
             observer=self.failure_detector,
         )
@@ -173,6 +175,7 @@
                 machines=ClusterMachines(self.registry, self._draining, self._machine_types.current),
                 cloud=self._cloud,
                 headroom=self.headroom,
+                failures=self.failures,
                 objectives=self.objectives,
                 shard_assigner=shard_assigner,
             ),
--- a/src/cloverplank/leader/leader.py
+++ b/src/cloverplank/leader/leader.py
@@ -22,6 +22,7 @@
 from cloverplank.leader.shard_assignment import ShardAssigner
 from cloverplank.leader.transactions import LeaderTransactions
 from cloverplank.leader.zone_allocation import ClusterQuotas, ZoneAllocator
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.objectives import ServiceLevelObjectives
 from cloverplank.scheduling.queue import QueuedJob
@@ -46,6 +47,7 @@
     machines: ClusterMachines
     cloud: CloudClient
     headroom: Headroom
+    failures: FailureHistory
     objectives: ServiceLevelObjectives
     shard_assigner: ShardAssigner
 
@@ -143,6 +145,7 @@
         queue=dependencies.queue,
         machines=dependencies.machines,
         headroom=dependencies.headroom,
+        failures=dependencies.failures,
         pool_backoff=pool_backoff,
     )
 
--- a/src/cloverplank/leader/zone_allocation.py
+++ b/src/cloverplank/leader/zone_allocation.py
@@ -22,6 +22,7 @@
 from cloverplank.scheduling import quotas
 from cloverplank.scheduling.capacity import EPSILON, CapacityIndex, FreeCapacity
 from cloverplank.scheduling.capacity_cache import CapacityCache, free_capacity_of
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.scheduling.headroom import Headroom
 from cloverplank.scheduling.queue import QueuedJob
 from cloverplank.scheduling.quotas import Quota, UnmetDemand
@@ -67,6 +68,7 @@
         queue: TransactionQueue,
         machines: ClusterMachines,
         headroom: Headroom,
+        failures: FailureHistory,
         pool_backoff: PoolBackoff,
     ) -> None:
         self._zone_weights = cluster_quotas.zone_weights
@@ -78,6 +80,7 @@
         self._store = watch_cache.store
         self._machines = machines
         self._headroom = headroom
+        self._failures = failures
         self._pool_backoff = pool_backoff
         self._capacity_cache = CapacityCache(watch_cache.store)
         self.unmet_demands: list[UnmetDemand] = []
@@ -173,7 +176,7 @@
         types = self._machines.types()
         capacities = self._registered_capacity(types, plan, min_cpus)
         capacities += self._provisioning_capacity(types)
-        return CapacityIndex(capacities, min_cpus, plan.may_use_reserved)
+        return CapacityIndex(capacities, min_cpus, plan.may_use_reserved, self._failures.unusable_machines)
 
     def _registered_capacity(
         self, types: dict[str, MachineType], plan: RecoveryPlan, min_cpus: float
--- a/src/cloverplank/membership/gossip.py
+++ b/src/cloverplank/membership/gossip.py
@@ -12,7 +12,7 @@
 
 from cloverplank.autoscaling.registry import MachineRegistry
 from cloverplank.background import BackgroundTasks
-from cloverplank.basic_types import Clock, JobId, MonotonicTime, NodeId, Zone
+from cloverplank.basic_types import Clock, JobId, MachineId, MonotonicTime, NodeId, Zone
 from cloverplank.jobs.store import JobStore
 from cloverplank.kvstore.client import StoreClient
 from cloverplank.kvstore.controller_lease import ControllerLease
@@ -28,15 +28,17 @@
     method_not_allowed,
     not_found,
 )
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.settings.platform import Peer, PlatformSettings
 from cloverplank.wire.codec import MessageDecodeError, decode, encode
-from cloverplank.wire.gossip import GOSSIP_PATH, GossipMessage, MachineGossip, SuspectedPeer
+from cloverplank.wire.gossip import GOSSIP_PATH, FailureGossip, GossipMessage, MachineGossip, SuspectedPeer
 from cloverplank.wire.users import ErrorResponse, valid_job_id
 
 GOSSIP_FRESH_S = 4.0  # messages received longer ago than this are ignored
 ROUNDS_PER_FULL_GOSSIP = 5  # the leader gets the machines in every round, the other peers only once in this many rounds
 MAX_MACHINES_PER_MESSAGE = 150  # keeps a message well below the maximum body size
 MAX_MACHINES = 5_000  # further machines in a received message are ignored, which bounds memory
+MAX_FAILURES = 1_000  # further failures in a received message are ignored, which bounds the work of its receiver
 MAX_CANCELLATIONS_PER_MESSAGE = 500  # bounds a message's size and the work of its receiver
 CANCELLATION_REPEAT_S = 3.0  # messages repeat a cancellation for this long
 CANCELLATION_BATCH_DELAY_S = 0.005  # cancellations committed within this time share a message
@@ -78,6 +80,9 @@
     def machine_gossip(self) -> list[MachineGossip]:
         """Return the machines of the owned shards."""
 
+    def failure_gossip(self) -> list[FailureGossip]:
+        """Return the failures of tasks on these machines."""
+
 
 class PeerGossip:
     """Sends this controller's gossip and keeps the latest message of each peer.
@@ -98,6 +103,7 @@
         queue: TransactionQueue,
         store: JobStore,
         registry: MachineRegistry,
+        failures: FailureHistory,
         owned: OwnedShardsView,
         observer: PeerObserver,
     ) -> None:
@@ -110,6 +116,7 @@
         self._queue = queue
         self._store = store
         self._registry = registry
+        self._failures = failures
         self._owned = owned
         self._observer = observer
         self.received: dict[NodeId, ReceivedGossip] = {}
@@ -180,6 +187,10 @@
         for machine in message.machines[:MAX_MACHINES]:
             if self._controller_lease.shard_owner(machine.zone) == message.node:
                 self._registry.apply_gossip(machine)
+        for failure in message.failures[:MAX_FAILURES]:
+            entry = self._registry.entries.get(MachineId(failure.machine))
+            if entry is not None and self._controller_lease.shard_owner(entry.zone) == message.node:
+                self._failures.apply_gossip(failure)
 
     # -- workers that send their heartbeats to this controller
 
@@ -261,7 +272,7 @@
             self.tasks.spawn(self._send(peer, [body]))
 
     def _send_all(self, *, machines_to_all: bool) -> None:
-        """Send gossip to all peers, with the machines to the leader and, if `machines_to_all`, to the others too."""
+        """Send gossip to all peers, to the leader and, if `machines_to_all`, to all with machines and failures."""
         message = self._own_message()
         leader = self._controller_lease.leader()
         with_machines = {
@@ -275,13 +286,16 @@
             encode(msgspec.structs.replace(message, machines=machines[start : start + MAX_MACHINES_PER_MESSAGE]))
             for start in range(0, max(1, len(machines)), MAX_MACHINES_PER_MESSAGE)
         ]
+        failures = self._owned.failure_gossip() if with_machines else []
+        if failures:
+            parts.append(encode(msgspec.structs.replace(message, failures=failures)))
         without_machines = [encode(message)]
         for peer in self._platform.peers:
             bodies = parts if peer.label in with_machines else without_machines
             self.tasks.spawn(self._send(peer, bodies))
 
     def _own_message(self) -> GossipMessage:
-        """Return this controller's gossip message without machines."""
+        """Return this controller's gossip message without machines and failures."""
         now = self._clock.monotonic()
         return GossipMessage(
             self._controller_lease.node_id,
--- a/src/cloverplank/scheduling/failure_history.py
+++ b/src/cloverplank/scheduling/failure_history.py
@@ -4,11 +4,13 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Collection
+from collections.abc import Collection, Container, Iterator
+from itertools import islice
 
 from msgspec import Struct, field
 
 from cloverplank.basic_types import NEVER, Clock, JobId, MachineId, MonotonicTime
+from cloverplank.wire.gossip import FailureGossip
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +38,7 @@
     count: int = 0
     failed_at: MonotonicTime = NEVER
     machines: dict[MachineId, _MachineFailures] = field(default_factory=dict)
+    gossiped_machines: int = 0  # on how many machines it failed according to a peer
 
     def backoff_until(self) -> MonotonicTime:
         """Return when the job may start tasks again."""
@@ -43,7 +46,11 @@
 
     def blames_job(self) -> bool:
         """Return whether the failures are attributed to the job itself."""
-        return len(self.machines) >= MIN_MACHINES_TO_BLAME_JOB
+        return self.machine_count() >= MIN_MACHINES_TO_BLAME_JOB
+
+    def machine_count(self) -> int:
+        """Return the number of machines on which the job failed."""
+        return max(len(self.machines), self.gossiped_machines)
 
 
 def _backoff_s(failures: int) -> float:
@@ -58,7 +65,7 @@
 
 
 class FailureHistory:
-    """Failures of tasks in the shards of this controller.
+    """Failures of tasks in the shards of this controller, and in those of its peers according to gossip.
 
     A job avoids a machine on which it failed for a limited time only, since no other machine may be available: leader
     and shard owners otherwise disagree on the machine's capacity, and the job waits beside it indefinitely. The leader
@@ -102,7 +109,7 @@
             job,
             machine,
             on_machine.count,
-            len(failures.machines),
+            failures.machine_count(),
             _backoff_s(failures.count),
         )
 
@@ -183,3 +190,36 @@
         if failed_jobs is None:
             return False
         return sum(not self._jobs[job].blames_job() for job in failed_jobs) >= self._faulty_jobs
+
+    # -- gossip
+
+    def gossip(self, jobs: Container[JobId], machines: Container[MachineId]) -> Iterator[FailureGossip]:
+        """Yield the failures of the given jobs on the given machines as gossiped to peers, the latest jobs first."""
+        now = self._clock.monotonic()
+        for job in reversed(self._jobs):
+            if job not in jobs:
+                continue
+            failures = self._jobs[job]
+            on_machines = ((name, failed) for name, failed in failures.machines.items() if name in machines)
+            # More machines would not change what the failures are attributed to.
+            for machine, on_machine in islice(on_machines, MIN_MACHINES_TO_BLAME_JOB):
+                failed_s_ago = max(0.0, now - on_machine.failed_at)
+                yield FailureGossip(
+                    job,
+                    machine,
+                    count=on_machine.count,
+                    job_count=failures.count,
+                    job_machines=failures.machine_count(),
+                    failed_s_ago=failed_s_ago,
+                )
+
+    def apply_gossip(self, message: FailureGossip) -> None:
+        """Apply the failures of a job on a machine that the machine's shard owner gossips."""
+        job, machine = JobId(message.job), MachineId(message.machine)
+        failed_at = MonotonicTime(self._clock.monotonic() - max(0.0, message.failed_s_ago))
+        failures = self._failures_of(job)
+        on_machine = failures.machines.get(machine) or self._add_machine(job, failures, machine, failed_at)
+        on_machine.count, on_machine.failed_at = message.count, failed_at
+        failures.count = max(failures.count, message.job_count)
+        failures.gossiped_machines = max(failures.gossiped_machines, message.job_machines)
+        failures.failed_at = max(failures.failed_at, failed_at)
--- a/src/cloverplank/shard/owned_shards.py
+++ b/src/cloverplank/shard/owned_shards.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+from collections import ChainMap
 from collections.abc import Callable
+from itertools import islice
 
 from cloverplank.autoscaling.registry import HEALTH_FAULTY, HEALTH_LOST, STATE_REQUESTED, MachineRegistry
 from cloverplank.background import BackgroundTasks
@@ -16,15 +18,17 @@
 from cloverplank.kvstore.transaction_queue import TransactionQueue
 from cloverplank.kvstore.watch_cache import WatchCache
 from cloverplank.records.cluster import ShardRecord
+from cloverplank.scheduling.failure_history import FailureHistory
 from cloverplank.shard.former_owners import FormerOwners
 from cloverplank.shard.machine import Health, Machine
 from cloverplank.shard.shard import Shard
 from cloverplank.shard.shard_types import ShardLimits
-from cloverplank.wire.gossip import MachineGossip
+from cloverplank.wire.gossip import FailureGossip, MachineGossip
 from cloverplank.wire.kvstore import Compare, Put, Transaction
 
 log = logging.getLogger(__name__)
 
+MAX_GOSSIP_FAILURES = 500  # keeps a message well below the maximum body size
 MAX_GOSSIP_IMAGES = 12  # the most recently used images of each machine are gossiped
 DECLINE_ASSIGNMENTS_S = 20.0  # a controller that received no heartbeats declines assignments for this long
 REINSTATE_DELAY_S = 0.1  # a supersession is undone only after contact with the store that is later by this much
@@ -51,6 +55,7 @@
         watch_cache: WatchCache,
         queue: TransactionQueue,
         registry: MachineRegistry,
+        failures: FailureHistory,
         limits: ShardLimits,
         make_shard: Callable[[Zone, FencingToken], Shard],
     ) -> None:
@@ -60,6 +65,7 @@
         self._watch_cache = watch_cache
         self._queue = queue
         self._registry = registry
+        self._failures = failures
         self._limits = limits
         self._make_shard = make_shard
         self.shards: dict[Zone, Shard] = {}
@@ -88,6 +94,11 @@
             if machine.type and (machine.sequence or machine.lost_since is not None)
         ]
 
+    def failure_gossip(self) -> list[FailureGossip]:
+        """Return the failures of open jobs on the owned shards' machines that are gossiped to peers."""
+        machines = ChainMap(*(shard.machines for shard in self.shards.values()))
+        return list(islice(self._failures.gossip(self._watch_cache.store.jobs, machines), MAX_GOSSIP_FAILURES))
+
     def update(self) -> None:
         """Acquire newly assigned shards, and release those that are no longer assigned."""
         for zone in self._zones:
--- a/src/cloverplank/wire/gossip.py
+++ b/src/cloverplank/wire/gossip.py
@@ -23,6 +23,21 @@
     images: list[str] = field(default_factory=list)
 
 
+class FailureGossip(Struct, array_like=True):
+    """The failures of one job on one machine as the machine's shard owner knows them; part of `GossipMessage`.
+
+    `count` is the number of consecutive failures of the job on the machine, `job_count` that on all machines, and
+    `job_machines` the number of machines on which it failed, which may be gone by now.
+    """
+
+    job: str
+    machine: str
+    count: Annotated[int, Meta(ge=0)]
+    job_count: Annotated[int, Meta(ge=0)]
+    job_machines: Annotated[int, Meta(ge=0)]
+    failed_s_ago: float
+
+
 class SuspectedPeer(Struct, array_like=True):
     """The sender suspects this incarnation of a controller; part of `GossipMessage`."""
 
@@ -37,7 +52,7 @@
     the fencing token of each shard that it owns, by zone. `declines_assignments` says that it accepts no shard, since
     it receives no heartbeats. `demand` is the number of changes per second that it would make in the key-value store.
     `cancelled` names jobs whose cancellation it has recently committed. `incarnation` rises when the controller learns
-    that it is suspected.
+    that it is suspected. `failures` has the failures of tasks on the machines of its shards.
     """
 
     node: str
@@ -51,3 +66,4 @@
     cancelled: list[str] = field(default_factory=list)
     incarnation: Annotated[int, Meta(ge=0)] = 0
     suspects: list[SuspectedPeer] = field(default_factory=list)
+    failures: list[FailureGossip] = field(default_factory=list)
--- a/tests/scheduling/test_failure_history.py
+++ b/tests/scheduling/test_failure_history.py
@@ -11,6 +11,7 @@
     FIRST_AVOIDANCE_S,
     MAX_BACKOFF_S,
     MIN_MACHINES_TO_BLAME_JOB,
+    MIN_REPEATED_FAILURES,
     REPEATED_AVOIDANCE_S,
     FailureHistory,
 )
@@ -126,3 +127,36 @@
     assert len(history) == 2
     assert history.suspected_machines(JOB)
     assert not history.suspected_machines(JobId("run-2"))
+
+
+def test_gossiped_failures_give_a_peer_the_same_memory(history: ManualHistory) -> None:
+    """Guards against a new owner or leader that begins anew, with short pauses and other machines for the job."""
+    for machine in MACHINES[:2]:
+        for _ in range(MIN_REPEATED_FAILURES):
+            history.record_failure(JOB, machine)
+            history.seconds_until_usable(machine)
+    history.record_failure(JOB, MACHINES[1])
+    peer = ManualHistory()
+    peer.now = history.now + 500.0  # the clocks of two controllers are unrelated
+    for _ in range(3):  # gossip repeats
+        for message in history.gossip({JOB}, set(MACHINES)):
+            peer.apply_gossip(message)
+    assert peer.unusable_machines(JOB) == history.unusable_machines(JOB) != []
+    assert peer.seconds_until_usable(MACHINES[1]) == pytest.approx(history.seconds_until_usable(MACHINES[1]), abs=0.25)
+
+
+def test_peer_attributes_failures_to_the_job_though_its_machines_are_gone(history: ManualHistory) -> None:
+    """Guards against an owner that blames machines again for a job that failed on several, which were returned."""
+    for machine in MACHINES[:MIN_MACHINES_TO_BLAME_JOB]:
+        history.record_failure(JOB, machine)
+    peer = ManualHistory()
+    for message in history.gossip({JOB}, {MACHINES[0]}):
+        peer.apply_gossip(message)
+    assert not peer.avoided_machines(JOB)
+    assert peer.is_backing_off(JOB)
+
+
+def test_failures_of_ended_jobs_and_of_other_machines_are_not_gossiped(history: ManualHistory) -> None:
+    history.record_failure(JOB, MACHINES[0])
+    assert not list(history.gossip(set(), {MACHINES[0]}))
+    assert not list(history.gossip({JOB}, {MACHINES[1]}))
--- a/tests/shard/test_failed_tasks.py
+++ b/tests/shard/test_failed_tasks.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from itertools import pairwise
 from typing import Any
 
 import pytest
 
+from cloverplank.scheduling.failure_history import MIN_MACHINES_TO_BLAME_JOB
 from tests.simulation.loop import run
 from tests.simulation.recovery import MAX_WAIT_BESIDE_CAPACITY_S
 from tests.simulation.simulated_day import check
@@ -18,6 +20,7 @@
 RUN_S = 2.0
 POLL_S = 0.5
 MAX_PLAY_S = 300.0
+REJOIN_S = 10.0  # a controller has joined and received gossip this long after its start
 MAX_BACKOFF_S = 30.0  # the longest pause between two attempts of a job that fails everywhere
 WHOLE_MACHINE = 8.0  # the cores of the smaller machine type
 
@@ -157,3 +160,62 @@
     cluster = play(work())
     victims = [starts for task, starts in cluster.starts.items() if task.startswith("run-000002/")]
     assert max(victims) <= 2  # its first start, and one after it was preempted for the second attempt of the other job
+
+
+def fails_on_first_machine(cluster: FailingCluster, machine: Machine, task: Task) -> bool:
+    return machine.id == "m-000001"
+
+
+@pytest.mark.parametrize(
+    ("of_world", "of_job"),
+    [
+        pytest.param({}, {}, id="array"),
+        pytest.param({}, {"shape": "service", "rank": "prod"}, id="service"),
+        pytest.param({}, {"shape": "ensemble"}, id="gang"),
+        pytest.param({"cpu": 0.3}, {}, id="leader_and_owner_are_two_controllers"),
+        pytest.param({"zones": 2, "capacity": 1}, {"together": True}, id="other_machine_in_another_zone"),
+    ],
+)
+def test_job_that_fails_repeatedly_on_the_only_machine_gets_another_one(
+    of_world: dict[str, Any], of_job: dict[str, Any]
+) -> None:
+    """Guards against a faulty machine that the leader counts as capacity of a job that never succeeds there."""
+
+    async def work() -> FailingCluster:
+        cluster = FailingCluster(fails_on_first_machine, seed=1, **of_world)
+        job = await cluster.submit(1, pieces=1, **of_job)
+        await cluster.play(MAX_WAIT_BESIDE_CAPACITY_S)
+        assert cluster.is_served(job)
+        return cluster
+
+    cluster = play(work())
+    assert {machine for _, _, machine in cluster.failed} == {"m-000001"}
+
+
+@pytest.mark.parametrize("capacity", [1, 2, 6], ids=["one_machine", "two_machines", "six_machines"])
+@pytest.mark.parametrize("fault", ["shard_owner", "all_controllers_in_turn"])
+def test_failures_are_remembered_when_the_owner_changes(fault: str, capacity: int) -> None:
+    """Guards against a job that always fails and is retried without a pause, or given machines, by each new owner."""
+
+    async def work() -> tuple[FailingCluster, float]:
+        cluster = FailingCluster(fails_always, seed=1, capacity=capacity, cpu=0.3)
+        await cluster.submit(1, pieces=1)
+        await cluster.play(MAX_PLAY_S)  # until its pauses are the longest
+        world = cluster.world
+        owner = next(label for label, (controller, _) in world.controllers.items() if controller.shards)
+        crashed_at = world.now()
+        others = [label for label in world.labels if label != owner]
+        for label in [owner] if fault == "shard_owner" else [owner, *others]:
+            await world.restart(label, after=20.0)
+            await asyncio.sleep(REJOIN_S)
+        await cluster.play(MAX_PLAY_S / 2)
+        return cluster, crashed_at
+
+    cluster, crashed_at = run(work())
+    check(cluster.world)
+    failures = cluster.failures_of("run-000001")
+    pauses = [later - earlier for earlier, later in pairwise(failures) if later > crashed_at]
+    assert pauses
+    assert min(pauses) >= MAX_BACKOFF_S  # as before the change
+    assert cluster.world.cloud.number <= MIN_MACHINES_TO_BLAME_JOB
+    assert cluster.longest_wait_s < MAX_WAIT_BESIDE_CAPACITY_S
--- a/tests/simulation/test_many_machines.py
+++ b/tests/simulation/test_many_machines.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 
 from cloverplank.autoscaling.cloud import LIST_PAGE_RATE_FRACTION, PAGE_SIZE, CloudClient
@@ -13,16 +14,17 @@
 from cloverplank.jobs import layout, records
 from cloverplank.jobs.records import JobRecord, Placement
 from cloverplank.jobs.store import JobStore
-from cloverplank.membership.gossip import MAX_MACHINES, MAX_MACHINES_PER_MESSAGE
+from cloverplank.membership.gossip import MAX_FAILURES, MAX_MACHINES, MAX_MACHINES_PER_MESSAGE
 from cloverplank.net.messages import Response
 from cloverplank.scheduling import quotas
 from cloverplank.scheduling.capacity import CapacityIndex, FreeCapacity
 from cloverplank.scheduling.queue import scheduling_order
 from cloverplank.scheduling.quotas import Quota
 from cloverplank.settings.operator import OperatorSettings
+from cloverplank.shard.owned_shards import MAX_GOSSIP_FAILURES
 from cloverplank.wire.cloud import ListedMachine, MachineList
 from cloverplank.wire.codec import MAX_BODY_BYTES, encode
-from cloverplank.wire.gossip import GossipMessage, MachineGossip
+from cloverplank.wire.gossip import FailureGossip, GossipMessage, MachineGossip
 from cloverplank.wire.users import JobSpec
 from tests.jobs.test_records import spec
 from tests.simulation.loop import run
@@ -65,6 +67,10 @@
     )
     assert len(encode(message)) <= MAX_BODY_BYTES
     assert MAX_MACHINES_PER_MESSAGE <= MAX_MACHINES
+    failure = FailureGossip("run-999999", machine_name(999_999), 2**63, 2**63, MACHINES, 599.5)
+    message = msgspec.structs.replace(message, machines=[], failures=[failure] * MAX_GOSSIP_FAILURES)
+    assert len(encode(message)) <= MAX_BODY_BYTES
+    assert MAX_GOSSIP_FAILURES <= MAX_FAILURES
 
 
 class PagedCloud:
