Give up emptying a machine whose next move waits for long

Symptom: jobs waited without an end beside the free CPUs of a machine that consolidation was emptying; no other machine was provisioned.

Cause: the owner places nothing on a machine that is being emptied, while the leader counts its capacity. The next move waits until all replicas of the machine's services run, wherever; one that is missing in another zone without capacity held the machine for ever.

Change: emptying is given up 30 s after its last move, with a log line, if the next one still waits; a scan chooses the machine again only when all replicas run. The stand-in of the cloud refuses a pool that is overdrawn, too.

--- a/src/cloverplank/shard/consolidation.py
+++ b/src/cloverplank/shard/consolidation.py
@@ -24,6 +24,7 @@
 MOVE_INTERVAL_S = 1.0  # minimum time between moving two replicas off the same machine
 # Minimum time between scans for replicas to move, because each scan indexes the capacity of all machines.
 MOVE_SCAN_INTERVAL_S = 0.5
+MAX_MOVE_WAIT_S = 30.0  # emptying a machine is given up if its next move has to wait for longer
 MIN_REPLICA_AGE_S = 35.0  # younger replicas are not moved
 MAX_FIT_ATTEMPTS_PER_SCAN = 8  # machines per scan whose replicas are tentatively allocated elsewhere
 MACHINES_PER_CONSOLIDATION = 40  # one machine is emptied at a time, and one more per this many in the shard
@@ -84,6 +85,7 @@
             if now - self._emptying[name] < MOVE_INTERVAL_S:
                 continue
             if any(not self._all_replicas_running(view) for view in state.store.jobs_on(name)):
+                self._give_up_if_stuck(name, now)
                 continue
             self._emptying[name] = now
             views = self._movable_jobs(machine, now)
@@ -95,6 +97,12 @@
             ref = placed_refs(views[0].record, name)[0]
             self._stops.stop(ref, machine, grace_s=0.0, reason="consolidation")
 
+    def _give_up_if_stuck(self, name: MachineId, now: MonotonicTime) -> None:
+        """Let a machine accept tasks again if its next move has waited for long: a missing replica may stay so."""
+        if now - self._emptying[name] > MAX_MOVE_WAIT_S:
+            log.info("consolidation: no longer emptying machine %s: a replica is missing", name)
+            del self._emptying[name]
+
     def _all_replicas_running(self, view: CachedJob) -> bool:
         """Return whether all replicas of a job run, so that moving one leaves only that one missing."""
         state = self._state
--- a/tests/simulation/cloud.py
+++ b/tests/simulation/cloud.py
@@ -120,7 +120,7 @@
         pool = (asked["yard"], asked["loaners"])
         free = self.left.setdefault(pool, self.world.capacity)
         count = min(free, asked["number"])
-        if count == 0:
+        if count <= 0:
             return 503, {"error": "no capacity"}
         self.left[pool] = free - count
         names = [self.world.boot(asked["build"], asked["yard"], asked["loaners"]) for _ in range(count)]
