Move the job queue and two builders out of the composition root

Change: JobQueue is a module of its own; it and RateAllocator are built in controller.builders. The log line names the machines of the request.

--- a/src/cloverplank/controller/builders.py
+++ b/src/cloverplank/controller/builders.py
@@ -11,11 +11,14 @@
 from cloverplank.autoscaling.registry import MachineRegistry
 from cloverplank.basic_types import JobId, NodeId, Zone
 from cloverplank.controller.environment import Environment
+from cloverplank.controller.job_queue import JobQueue
 from cloverplank.controller.store_access import StoreAccess
 from cloverplank.jobs.store import JobStore
+from cloverplank.kvstore.rate_allocation import RateAllocator
 from cloverplank.membership.gossip import PeerGossip
 from cloverplank.rollout.driver import Deployment, RolloutDriver
 from cloverplank.rollout.migration import Migration
+from cloverplank.scheduling.objectives import ServiceLevelObjectives
 from cloverplank.scheduling.quotas import team_quotas
 from cloverplank.wire.cloud import MachineType
 from cloverplank.zones.observation import ZoneObserver
@@ -72,6 +75,32 @@
     )
 
 
+def build_job_queue(environment: Environment, access: StoreAccess, objectives: ServiceLevelObjectives) -> JobQueue:
+    """Build the queue of open jobs in scheduling order."""
+    return JobQueue(
+        environment.platform.facts.teams,
+        clock=environment.clock,
+        store=access.jobs,
+        watch_cache=access.watch_cache,
+        objectives=objectives,
+    )
+
+
+def build_rate_allocator(
+    environment: Environment, access: StoreAccess, demand_of: Callable[[NodeId], float]
+) -> RateAllocator:
+    """Build the allocator of the store's rate limits. `demand_of`: returns the changes per second that a peer needs."""
+    return RateAllocator(
+        limits=environment.store_limits,
+        zones=environment.zones,
+        controller_lease=access.controller_lease,
+        client=access.client,
+        watch_cache=access.watch_cache,
+        queue=access.queue,
+        demand_of=demand_of,
+    )
+
+
 def build_rollout(environment: Environment, access: StoreAccess) -> RolloutDriver:
     """Build the driver of staged rollouts, which changes the cluster version."""
     controllers = frozenset(NodeId(name) for name in environment.platform.controllers())
--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -9,18 +9,24 @@
 from cloverplank.autoscaling.draining import DrainingMachines, is_drain_key
 from cloverplank.autoscaling.registry import MachineRegistry
 from cloverplank.basic_types import Clock, FencingToken, JobId, MonotonicTime, Zone
-from cloverplank.controller.builders import build_rollout, build_users, build_zone_health_monitor, zone_has_workers
+from cloverplank.controller.builders import (
+    build_job_queue,
+    build_rate_allocator,
+    build_rollout,
+    build_users,
+    build_zone_health_monitor,
+    zone_has_workers,
+)
 from cloverplank.controller.environment import Environment
 from cloverplank.controller.machine_types import MachineTypeCatalog
 from cloverplank.controller.reconcile_loop import ReconcileLoop
 from cloverplank.controller.routing import Router
-from cloverplank.controller.scheduling_cycle import JobQueue, SchedulingCycle
+from cloverplank.controller.scheduling_cycle import SchedulingCycle
 from cloverplank.controller.scheduling_loop import SchedulingLoop
 from cloverplank.controller.store_access import StoreListeners, build_store_access
 from cloverplank.jobs.store import CachedJob
 from cloverplank.kvstore import keys
 from cloverplank.kvstore.controller_lease import LeaseState
-from cloverplank.kvstore.rate_allocation import RateAllocator
 from cloverplank.leader.cluster_machines import ClusterMachines
 from cloverplank.leader.dependency_reconciler import DependencyReconciler
 from cloverplank.leader.handover import ShardHandover
@@ -235,13 +241,7 @@
             owned=self.owned,
             registry=self.registry,
             zone_health_monitor=zone_health_monitor,
-            job_queue=JobQueue(
-                environment.platform.facts.teams,
-                clock=environment.clock,
-                store=self.store,
-                watch_cache=self.watch_cache,
-                objectives=self.objectives,
-            ),
+            job_queue=build_job_queue(environment, self._access, self.objectives),
             objectives=self.objectives,
             headroom=self.headroom,
             leader=self.leader,
@@ -259,15 +259,7 @@
             handover=self.handover,
             owned=self.owned,
             gossip=self.gossip,
-            rate_allocator=RateAllocator(
-                limits=environment.store_limits,
-                zones=environment.zones,
-                controller_lease=self.controller_lease,
-                client=self.client,
-                watch_cache=self.watch_cache,
-                queue=self.queue,
-                demand_of=self.gossip.demand_of,
-            ),
+            rate_allocator=build_rate_allocator(environment, self._access, self.gossip.demand_of),
         )
 
     def _make_shard(self, zone: Zone, token: FencingToken) -> Shard:
--- a/src/cloverplank/leader/scale_in.py
+++ b/src/cloverplank/leader/scale_in.py
@@ -80,10 +80,10 @@
         await self._record_terminations()
         # A machine that its shard owner reports as lost is terminated at once: the cloud's response proves that its
         # tasks have ended.
-        lost = [entry.id for entry in self._registry.entries.values() if entry.health == HEALTH_LOST]
+        lost = [entry.id for entry in self._registry.entries.values() if entry.health == HEALTH_LOST][:MAX_TERMINATE]
         if lost:
             log.info("scale in: lost machines: %s", " ".join(lost))
-            await self._terminate(lost[:MAX_TERMINATE])
+            await self._terminate(lost)
         if self._led_for_s() < SCALE_IN_DELAY_S:
             return
         await self._start_drains()
