--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -104,6 +104,27 @@
     return attempts
 
 
+async def test_guaranteed_job_is_not_preempted_by_a_job_that_it_precedes() -> None:
+    """Guards against a job that is preempted hundreds of times by one of higher rank, which gets no capacity by it.
+
+    The job of lower rank is within its team's guaranteed quota, the other one is not. In the scheduling order the
+    guaranteed job comes first, so it took the capacity back each time.
+    """
+    world = World(seed=1, capacity=1)
+    world.cloud.left = {(zone, True): 0 for zone in world.zones}  # one on-demand machine in all
+    guaranteed = world.job(1, crew="red", rank="standard", pieces=6, vcpus=1.0)
+    of_higher_rank = world.job(2, crew="blue", rank="urgent", pieces=6, vcpus=4.0)
+    for spec in (guaranteed, of_higher_rank):
+        world.durations[spec["id"]] = 12.0
+    work = asyncio.ensure_future(world.follow(guaranteed))
+    while running_tasks(world) < 6:
+        await asyncio.sleep(0.5)
+    ends = await asyncio.wait_for(asyncio.gather(work, world.follow(of_higher_rank)), 150)
+    check(world)
+    assert ends == ["done", "done"]
+    assert attempts_by_job(world)[guaranteed["id"]] == 1
+
+
 async def test_overdue_job_is_not_preempted_by_the_job_that_it_passed() -> None:
     """Guards against a job that is preempted again and again, dozens of times on a recorded day.
 
