--- a/src/cloverplank/scheduling/failure_history.py
+++ b/src/cloverplank/scheduling/failure_history.py
@@ -70,7 +70,8 @@
     A job avoids a machine on which it failed for a limited time only, since no other machine may be available: leader
     and shard owners otherwise disagree on the machine's capacity, and the job waits beside it indefinitely. The leader
     provides another machine once a job has failed on one repeatedly. A job that fails on several machines is itself at
-    fault: it may use any machine, with growing pauses. A machine on which several such jobs failed is faulty.
+    fault: it may use any machine, with growing pauses. A machine is faulty if several jobs failed there that are not
+    themselves at fault.
 
     `faulty_jobs`: the number of jobs with failures at which a machine is faulty.
     """
