--- a/src/cloverplank/shard/preemption.py
+++ b/src/cloverplank/shard/preemption.py
@@ -60,12 +60,9 @@
 
     ref: TaskRef
     machine: Machine
-    queued_job: QueuedJob
-
-    @property
-    def record(self) -> JobRecord:
-        """The record of the task's job."""
-        return self.queued_job.record
+    record: JobRecord
+    guaranteed: bool
+    rank: int
 
 
 class Resources(Struct):
@@ -194,8 +191,8 @@
             queued_job = self._queued_jobs.get(JobId(ref.job))
             if queued_job is None:
                 queued_job = QueuedJob(record, guaranteed=False)
-            victims.append(Victim(ref, machine, queued_job))
-        victims.sort(key=_preemption_order)
+            victims.append(Victim(ref, machine, record, queued_job.guaranteed, queued_job.rank))
+        victims.sort(key=lambda victim: (victim.guaranteed, -victim.rank, -victim.record.runnable_at, victim.ref))
         return victims
 
     def _preempt_on(self, machine: Machine, queued_job: QueuedJob, missing: int, capacity: FreeCapacity) -> int:
@@ -226,21 +223,10 @@
         return best_fit
 
 
-def _preemption_order(victim: Victim) -> tuple[bool, int, int, TaskRef]:
-    queued_job = victim.queued_job
-    return queued_job.guaranteed, -queued_job.rank, -victim.record.runnable_at, victim.ref
-
-
 def _may_preempt(queued_job: QueuedJob, victim: Victim) -> bool:
-    """Return whether a job takes precedence over the victim, by rank or by its team's guaranteed quota.
-
-    It must also precede the victim's job in the scheduling order. The victim's job would otherwise get the capacity
-    back before the job that preempted it, and then be preempted by the same job again, indefinitely.
-    """
-    other = victim.queued_job
+    """Return whether a job takes precedence over the victim, by rank or by its team's guaranteed quota."""
     is_of_other_team = victim.record.spec.team != queued_job.record.spec.team
-    takes_guarantee = queued_job.guaranteed and not other.guaranteed and is_of_other_team
-    return (other.rank > queued_job.rank or takes_guarantee) and queued_job.sort_key() < other.sort_key()
+    return victim.rank > queued_job.rank or (queued_job.guaranteed and not victim.guaranteed and is_of_other_team)
 
 
 def _fit_count(spec: JobSpec, capacity: FreeCapacity, freed: Resources) -> int:
