Log a wait only of jobs of which no task can be placed

Symptom: a job that is placed a bounded number of tasks a cycle was logged, after 15 s, as one whose capacity is kept as headroom.

Cause: a cycle that placed some of a job's tasks counted as a wait, and the reason was looked for in the capacity, where there was none.

Evidence: test_job_that_is_placed_bit_by_bit_is_not_logged_as_waiting failed before, with that line.

Change: placing a task ends the wait. PlacementCycle._fill is named _place_tasks, since the index has a method fill.

--- a/src/cloverplank/shard/placement.py
+++ b/src/cloverplank/shard/placement.py
@@ -135,11 +135,11 @@
         if max_starts <= 0:
             self._record_wait(record, wanted, lambda: WaitReason.ZONE_RECOVERING)
             return wanted
-        placed = self._fill(view, queued_job, capacity, max_starts)
-        if placed < wanted:
-            self._record_wait(record, wanted - placed, lambda: self._capacity_wait_reason(queued_job, capacity))
-        else:
+        placed = self._place_tasks(view, queued_job, capacity, max_starts)
+        if placed:
             self._waiting.remove(record.id)
+        else:
+            self._record_wait(record, wanted, lambda: self._capacity_wait_reason(queued_job, capacity))
         return wanted - placed
 
     def _obstacle(self, view: CachedJob, record: records.JobRecord, wanted: int) -> WaitReason | None:
@@ -155,7 +155,7 @@
             return WaitReason.RECORD_FULL  # the job continues as tasks end
         return None
 
-    def _fill(self, view: CachedJob, queued_job: QueuedJob, capacity: CycleCapacity, max_starts: int) -> int:
+    def _place_tasks(self, view: CachedJob, queued_job: QueuedJob, capacity: CycleCapacity, max_starts: int) -> int:
         """Stage the placement of as many tasks of a job as fit, at most `max_starts`; return how many are placed."""
         zone = self._state.zone
         record, spec = queued_job.record, queued_job.record.spec
--- a/tests/shard/test_failed_tasks.py
+++ b/tests/shard/test_failed_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from itertools import pairwise
@@ -11,6 +12,7 @@
 import pytest
 
 from cloverplank.scheduling.failure_history import MIN_MACHINES_TO_BLAME_JOB
+from cloverplank.shard import placement
 from tests.simulation.loop import run
 from tests.simulation.recovery import MAX_WAIT_BESIDE_CAPACITY_S
 from tests.simulation.simulated_day import check
@@ -216,6 +218,24 @@
     failures = cluster.failures_of("run-000001")
     pauses = [later - earlier for earlier, later in pairwise(failures) if later > crashed_at]
     assert pauses
-    assert min(pauses) >= MAX_BACKOFF_S  # as before the change
+    assert min(pauses) >= MAX_BACKOFF_S  # as under the former owner
     assert cluster.world.cloud.number <= MIN_MACHINES_TO_BLAME_JOB
     assert cluster.longest_wait_s < MAX_WAIT_BESIDE_CAPACITY_S
+
+
+def test_job_that_is_placed_bit_by_bit_is_not_logged_as_waiting(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a log line that names headroom for a job whose tasks are placed a bounded number a cycle."""
+    caplog.set_level(logging.INFO, "cloverplank.shard.waiting_jobs")
+    monkeypatch.setattr(placement, "MAX_PLACED_PER_CYCLE", 1)
+
+    async def work() -> FailingCluster:
+        cluster = FailingCluster(lambda cluster, machine, task: False, seed=1, scale=10.0, capacity=40)
+        job = await cluster.submit(1, pieces=120)
+        cluster.world.durations[job] = MAX_PLAY_S
+        await cluster.play(MAX_WAIT_BESIDE_CAPACITY_S)
+        return cluster
+
+    play(work())
+    assert caplog.messages == []
