--- a/src/cloverplank/scheduling/failure_history.py
+++ b/src/cloverplank/scheduling/failure_history.py
@@ -19,7 +19,9 @@
 MAX_BACKOFF_S = 30.0
 MAX_BACKOFF_DOUBLINGS = 8
 FIRST_AVOIDANCE_S = 5.0  # a job avoids a machine for this long after its first failure there
-REPEATED_AVOIDANCE_S = 60.0  # and for this long after each further one, in which another machine can boot
+# And for this long after each further one: another machine can boot meanwhile, and it is less than the 90 s for which a
+# job may wait beside capacity.
+REPEATED_AVOIDANCE_S = 60.0
 MIN_REPEATED_FAILURES = 2  # consecutive failures on a machine at which the job needs another one
 FAILURE_TTL_S = 600.0  # failures that are followed by none for this long no longer count as consecutive
 MIN_MACHINES_TO_BLAME_JOB = 3  # a failure on this many machines is attributed to the job
