Close the client's connections before the event loop ends

What operators saw: on newer patch releases of Python 3.11 each status command, and `show`, `submit` and `cancel`, printed "Exception ignored in: <function StreamWriter.__del__" with a traceback on standard error although it succeeded, so that a caller that merges both streams could not read the JSON.

Cause: the HTTP client keeps idle connections. `asyncio.run` ended with them open, and the finalizer of each stream then asks the closed loop to close it.

Change: `Client` is an asynchronous context manager that closes its idle connections and waits for them; the commands and the controller's process use it.

The harness now keeps both streams apart and requires that a command that succeeds prints nothing on standard error, which is stricter than before.

--- a/src/cloverplank/cli.py
+++ b/src/cloverplank/cli.py
@@ -113,7 +113,7 @@
     import asyncio
 
     from cloverplank.net.client import Client
-    from cloverplank.net.messages import NoResponseError
+    from cloverplank.net.messages import NoResponseError, Response
     from cloverplank.settings.platform import parse_addr
     from cloverplank.wire.codec import MessageDecodeError, decode
 
@@ -121,9 +121,13 @@
         addr = str(parse_addr(controller, "--controller"))
     except InvalidSettingsError as err:
         _exit(EXIT_INVALID_INPUT, str(err))
+
+    async def exchange() -> Response:
+        async with Client(MAX_CONNECTIONS) as client:
+            return await client.request(addr, method, path, body, REQUEST_TIMEOUT_S)
+
     try:
-        client = Client(MAX_CONNECTIONS)
-        response = asyncio.run(client.request(addr, method, path, body, REQUEST_TIMEOUT_S))
+        response = asyncio.run(exchange())
         fields: dict[str, object] = decode(response.body, dict) if response.body else {}
     except (NoResponseError, MessageDecodeError) as err:
         _exit(EXIT_FAILED, f"no answer from {addr}: {err}")
--- a/src/cloverplank/net/client.py
+++ b/src/cloverplank/net/client.py
@@ -6,7 +6,7 @@
 import contextlib
 import ipaddress
 from functools import lru_cache
-from typing import Any
+from typing import Any, Self
 
 import h11
 
@@ -40,6 +40,11 @@
         with contextlib.suppress(Exception):
             self.writer.close()
 
+    async def wait_closed(self) -> None:
+        """Wait until the closed connection's socket is released."""
+        with contextlib.suppress(Exception):
+            await self.writer.wait_closed()
+
     async def exchange(self, host: str, method: str, path: str, body: bytes | None) -> Response:
         """Send a request and return its response. Raises NoResponseError, OSError or h11.ProtocolError."""
         data = self.h11.send(_head(host, method, path, None if body is None else len(body)))
@@ -100,7 +105,8 @@
     """HTTP client with a pool of connections by address.
 
     The number of open connections is bounded by `limit`, or by `sockets` where it is given. At the bound, idle
-    connections to other addresses are closed first.
+    connections to other addresses are closed first. A client is closed at the end of an `async with` block, which must
+    run in the same event loop as its requests.
     """
 
     def __init__(self, limit: int, sockets: Sockets | None = None) -> None:
@@ -109,6 +115,12 @@
         self._open_count = 0
         self._idle: dict[str, list[_Connection]] = {}
 
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
     @property
     def _limit(self) -> int:
         return self._fixed_limit if self._sockets is None else self._sockets.client_limit()
@@ -208,3 +220,14 @@
                 self._drop(connection)
             if not pool:
                 del self._idle[addr]
+
+    async def close(self) -> None:
+        """Close all idle connections, and wait until their sockets are released.
+
+        An event loop that ends with open connections has each of them print a traceback on standard error.
+        """
+        connections = [connection for pool in self._idle.values() for connection in pool]
+        self._idle.clear()
+        for connection in connections:
+            self._drop(connection)
+        await asyncio.gather(*(connection.wait_closed() for connection in connections))
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -25,8 +25,12 @@
 
 async def _serve(platform: PlatformSettings, operator: OperatorSettings) -> None:
     sockets = Sockets(platform.facts.machine_limits.sockets)
+    async with Client(sockets.client_min, sockets) as client:
+        await _serve_with(client, sockets, platform, operator)
+
+
+async def _serve_with(client: Client, sockets: Sockets, platform: PlatformSettings, operator: OperatorSettings) -> None:
     meter = LoadMeter() if operator.load_log_s else NoMeter()
-    client = Client(sockets.client_min, sockets)
     controller = Controller(platform, operator, clock=Clock(), http=client, rng=random.Random(), meter=meter)
     for name, handler, text, limit, shared in (
         ("front", controller.router.handle_front, platform.front, sockets.front, FrontSockets(sockets, client.trim)),
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -37,6 +37,20 @@
     return request.path + ("?" + request.query if request.query else "")
 
 
+async def run_command(*arguments: str) -> tuple[int | None, str, str]:
+    """Run a command of this program; return its exit code, standard output and standard error."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "run.py",
+        *arguments,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, err = await process.communicate()
+    return process.returncode, out.decode(), err.decode()
+
+
 class LoopbackCluster(World):
     """A world whose controllers are processes; `listen` must be called before they start any work.
 
@@ -248,21 +262,15 @@
         return [label for label, process in self.processes.items() if process.has_ended]
 
     async def command(self, *arguments: str, exit_code: int = 0) -> str:
-        """Run a command of this program while the cluster is running; return what it prints."""
+        """Run a command of this program while the cluster is running; return what it prints.
+
+        A command that succeeds must print nothing on standard error.
+        """
         config = str(self.folder / f"{self.labels[0]}.toml")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "run.py",
-            *arguments,
-            "--config",
-            config,
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        out, _ = await process.communicate()
-        assert process.returncode == exit_code, (arguments, process.returncode, out)
-        return out.decode()
+        exited_with, out, err = await run_command(*arguments, "--config", config)
+        assert exited_with == exit_code, (arguments, exited_with, out, err)
+        assert exit_code or not err, (arguments, err)
+        return out + err
 
     async def close(self) -> None:
         """Kill every process, by its id, and stop all simulated services."""
