Simulated world: images stay in a machine's cache, and answered commands can be repeated

The stand-ins hid a class of faults. Each start pulled its image for 0.3 s, in which an owner stops a task that it did not want, so a wrong start never ran; the protocol's workers keep images and run such a task at once. And besides the 0.2 of the constant noise no answered command request reached its machine a second time, as messages may.

Change: a machine keeps the images that it has pulled.

The stand-in for production gave a node record without a lease the lease that production sees in it only when the key was read by itself, not in a list or from the watch. With the image cache, another order of the same requests showed it: the excused controller of test_excused_controller_joins_again_only_with_a_program_that_reads_the_version read its barring key in the list first, and joined. It now sees the same in all three.

The new fault is off in all existing tests.

--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -23,6 +23,8 @@
     delayed_heartbeat_fraction: float = 0.0
     # Direct commands that arrive 1 to 8 s late, or whose responses are lost.
     delayed_command_fraction: float = 0.0
+    # Direct commands that were executed and answered, and are executed once more 0.3 to 30 s later.
+    repeated_command_fraction: float = 0.0
     # Transactions that get no response and are applied 2 to 12 s late.
     late_commit_fraction: float = 0.0
     # Jobs that are cancelled when their last task ends. No stand-in reads this yet: setting it has no effect.
--- a/tests/simulation/production.py
+++ b/tests/simulation/production.py
@@ -66,15 +66,20 @@
 
     def _answer(self, body: bytes) -> bytes:
         found = msgspec.msgpack.decode(body)
-        if str(found.get("path", "")).startswith("cp/node/") and found["value"]["lease"] == 0:
-            # Production attributes any record under its key to a former process, and revokes the lease in the record.
-            found["value"]["lease"] = UNOWNED_LEASE
+        if "path" in found:
+            self._own_lease(found["path"], found["value"])
         if "rows" in found:
             found["rows"] = [row for row in found["rows"] if self._is_readable(row, "path")]
         if "log" in found:
             found["log"] = [event for event in found["log"] if "delete" in event or self._is_readable(event, "put")]
         return msgspec.msgpack.encode(found)
 
+    @staticmethod
+    def _own_lease(key: str, value: Any) -> None:
+        """Give a node record a lease: production attributes any to a former process, and revokes the lease in it."""
+        if key.startswith("cp/node/") and value["lease"] == 0:
+            value["lease"] = UNOWNED_LEASE
+
     def _is_readable(self, row: dict, key: str) -> bool:
         """Convert the value for production; return whether production reads it, and record unreadable keys."""
         if row[key].startswith(UNKNOWN_PREFIXES):
@@ -82,4 +87,6 @@
         row["value"] = convert_for_production(row[key], row["value"])
         if row["value"] is None:
             self.world.unreadable_keys.append(row[key])
+        else:
+            self._own_lease(row[key], row["value"])
         return row["value"] is not None
--- a/tests/simulation/worker.py
+++ b/tests/simulation/worker.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
-PULL_S = 0.3  # the duration of an image pull
+PULL_S = 0.3  # the duration of an image pull; a machine keeps every image that it has pulled
 POLL_S = 0.1
 HEARTBEAT_TIMEOUT_S = 4.0
 HEARTBEAT_JITTER = (0.75, 1.25)  # bounds of the random factor of the heartbeat interval
@@ -59,6 +59,7 @@
         hung: whether the machine executes nothing, as if frozen; tests set and clear it.
         warning_until: the time at which a spot machine will be reclaimed, once the cloud has given notice.
         reclaimed: whether the cloud has taken the spot machine away.
+        images: the names of the images in its cache.
         controller: the index of the controller to which the worker sends heartbeats.
         changed: set when the next heartbeat should be sent before its interval has passed.
 
@@ -76,6 +77,7 @@
     sequence: int = 0
     token: int = 0
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    images: set[str] = field(default_factory=set)
     released: bool = False
     reclaimed: bool = False
     dead_at: float | None = None
@@ -148,6 +150,7 @@
 
     def _run(self, task: Task, now: float) -> None:
         task.status = RUNNING
+        self.images.add(self.world.jobs[task.job]["bundle"])
         task.ends_at = now + self.world.durations.get(task.name, self.world.durations[task.job])
         if task.name in self.world.done_tasks:
             task.ends_at = now
@@ -201,8 +204,10 @@
         self.step()
 
     def _start(self, name: str, attempt: int) -> None:
-        task = self.tasks[name, attempt] = Task(name, attempt, PULLING, self.world.now() + PULL_S)
+        task = self.tasks[name, attempt] = Task(name, attempt, PULLING)
         spec = self.world.jobs.get(task.job)
+        is_cached = spec is not None and spec["bundle"] in self.images
+        task.ready_at = self.world.now() + (0.0 if is_cached else PULL_S)
         others = [one for one in self.unfinished_tasks() if one is not task]
         if spec is None:
             self.end_task(task, "no_such")
