--- a/src/cloverplank/jobs/store.py
+++ b/src/cloverplank/jobs/store.py
@@ -109,7 +109,8 @@
         complete_until: Callable[[], MonotonicTime] = _never_complete,
     ) -> None:
         self.jobs: dict[JobId, CachedJob] = {}
-        self.by_machine: dict[MachineId, set[JobId]] = {}
+        # The jobs of each machine are keys in the order in which they came to it, so that no order depends on hashes.
+        self.by_machine: dict[MachineId, dict[JobId, None]] = {}
         self._loads: dict[MachineId, MachineLoad] = {}  # cached until a job on the machine changes
         self._changes = 0
         self._change_counts: dict[MachineId, int] = {}
@@ -227,9 +228,9 @@
             machine = MachineId(name)
             self._count_change(machine)
             if name in runs_now or name in staged_now:
-                self.by_machine.setdefault(machine, set()).add(view.id)
+                self.by_machine.setdefault(machine, {})[view.id] = None
             elif machine in self.by_machine:
-                self.by_machine[machine].discard(view.id)
+                self.by_machine[machine].pop(view.id, None)
                 if not self.by_machine[machine]:
                     del self.by_machine[machine]
 
