Acknowledge a task's exit only under a token above those of its start commands

Cause: a worker executes a copy of a command request while token and incarnation hold, and knows an attempt only until it is acknowledged (`reap`). The owner took an answered start for spent and acknowledged its attempt under the very token that the start carried, so the acknowledgement removed the one thing that made a copy harmless. The check for starts that may still be executed (`may_start_late`) covered unanswered ones only: a right (the token) outlived what the owner knew it had been used for; a check in one path and not in another.

Change: an acknowledgement goes only in a message whose token is higher than those of all starts that were sent to the worker directly; executing it, the worker takes the token and refuses every copy of them (`WorkerTokens`). The token needs no commit: any revision of the store at which the watch has shown the shard still assigned to this owner is higher than the tokens of former owners and lower than those of later ones, whose assignments are later revisions. The exit of the attempt itself was committed after its start was sent, so a higher revision is known as soon as the watch has delivered that commit; until then the acknowledgement waits, and nothing else does. Former owners' starts carry lower tokens than any of this owner's. Starts in responses to heartbeats can't be copied: a worker drops a response after 4 s.

Each worker has a token of its own (`Machine.sent_token`), so that an acknowledgement on one machine does not cost a heartbeat of all others. Conditions of commits go on using the revision of the assignment. A response to a heartbeat carries no acknowledgements while a command request to the same machine is in flight, which would then be refused.

Weighed: renewing the token by committing the assignment again, as is done for unanswered starts: a write for each batch, and commits conditional on the shard's key fail meanwhile. Keeping ended tasks on the workers: heartbeats of at most 64 KiB. Waiting: copies come minutes late, so no time is long enough.

--- a/src/cloverplank/basic_types.py
+++ b/src/cloverplank/basic_types.py
@@ -14,7 +14,7 @@
 
 ModRevision = NewType("ModRevision", int)  # the revision of the last change of one key; 0 if the key does not exist
 Revision = NewType("Revision", int)  # the revision of the whole key-value store
-FencingToken = NewType("FencingToken", int)  # identifies one ownership of a shard: the mod revision of the shard's key
+FencingToken = NewType("FencingToken", int)  # a revision of the store at which the sender owned the shard
 Attempt = NewType("Attempt", int)  # the number of a placement of a job, increasing with each placement
 LeaseId = NewType("LeaseId", int)
 
--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -282,6 +282,7 @@
             meter=environment.meter,
             failures=self.failures,
             starts_at_once=self.headroom_estimator.serves,
+            newest_token=self.controller_lease.newest_token,
         )
         return Shard(
             zone,
--- a/src/cloverplank/kvstore/controller_lease.py
+++ b/src/cloverplank/kvstore/controller_lease.py
@@ -176,6 +176,16 @@
             return None
         return FencingToken(shard.mod_revision)
 
+    def newest_token(self, zone: Zone, token: FencingToken) -> FencingToken:
+        """Return the newest known revision at which a shard was assigned to this controller under `token`.
+
+        No other owner ever has a token from `token` up to this revision: the watch has shown every change up to it, and
+        a later assignment has a higher one. It is `token` itself if the shard is no longer assigned under it.
+        """
+        if self.assigned_token(zone) != token:
+            return token
+        return FencingToken(max(token, self._watch_cache.revision))
+
     def shard_owner(self, zone: str) -> NodeId | None:
         """Return the controller that a zone's shard is assigned to, None if there is none."""
         shard = self._watch_cache.get(keys.shard(zone), ShardRecord)
--- a/src/cloverplank/shard/heartbeat_processor.py
+++ b/src/cloverplank/shard/heartbeat_processor.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
-from cloverplank.basic_types import MachineId, MonotonicTime
+from cloverplank.basic_types import FencingToken, MachineId, MonotonicTime
 from cloverplank.shard.errors import HeartbeatRefusal, HeartbeatRefusedError
 from cloverplank.shard.machine import Health, Machine
 from cloverplank.shard.shard_types import MAX_UNACKNOWLEDGED_RESPONSES
 from cloverplank.shard.state import MAX_MACHINES, ShardState
 from cloverplank.shard.task_outcomes import TaskOutcomes
-from cloverplank.shard.task_reconciler import MAX_COMMANDS, MAX_DEFERRED_ACKS, TaskReconciler, started_tasks
+from cloverplank.shard.task_reconciler import MAX_DEFERRED_ACKS, TaskReconciler, started_tasks
 from cloverplank.wire.workers import Command, Heartbeat, HeartbeatResponse
 
 
@@ -43,7 +43,7 @@
         """
         state, ownership = self._state, self._ownership
         now = state.clock.monotonic()
-        if heartbeat.token > ownership.token:
+        if heartbeat.token > ownership.highest_token:
             if heartbeat.machine in ownership.untrusted_workers:
                 raise HeartbeatRefusedError(MachineId(heartbeat.machine), HeartbeatRefusal.UNASSIGNED_TOKEN)
             ownership.supersede(heartbeat)
@@ -55,29 +55,33 @@
         if machine.is_duplicate(heartbeat):
             raise HeartbeatRefusedError(machine.id, HeartbeatRefusal.DUPLICATE)
         state.last_heartbeat_at = now
-        if heartbeat.token == ownership.token and machine.is_unchanged(heartbeat, state.store.change_count(machine.id)):
+        token = state.tokens.current(machine)
+        if heartbeat.token == token and machine.is_unchanged(heartbeat, state.store.change_count(machine.id)):
             machine.apply_unchanged(heartbeat, now)
-            return HeartbeatResponse(ownership.token, [])
+            machine.response_token = token
+            return HeartbeatResponse(token, [])
         machine.last_heartbeat = (heartbeat.incarnation, heartbeat.sequence)
         machine.last_heartbeat_at = now
         machine.addr, machine.type, machine.spot = heartbeat.addr or machine.addr, heartbeat.type, heartbeat.spot
         commands = self._due_commands(machine) if self.apply_status(machine, heartbeat, is_heartbeat=True) else []
-        machine.unacknowledged_responses = (
-            0 if heartbeat.token == ownership.token else machine.unacknowledged_responses + 1
-        )
+        is_acknowledged = ownership.has_issued(heartbeat.token) and heartbeat.token >= machine.response_token
+        machine.unacknowledged_responses = 0 if is_acknowledged else machine.unacknowledged_responses + 1
         if machine.unacknowledged_responses > MAX_UNACKNOWLEDGED_RESPONSES:
             self._refuse_until_lease_expires(machine, now)
             machine.unacknowledged_responses = 1
         machine.last_response_at = state.clock.monotonic()
-        return HeartbeatResponse(ownership.token, commands)
+        machine.response_token = state.tokens.current(machine)
+        return HeartbeatResponse(machine.response_token, commands)
 
     def _due_commands(self, machine: Machine) -> list[Command]:
         """Return the commands for a response, and record that they are being sent."""
         commands, acknowledgements = self._task_reconciler.due_commands(machine)
-        if commands or len(acknowledgements) >= MAX_DEFERRED_ACKS:
-            commands = (acknowledgements + commands)[:MAX_COMMANDS]
+        has_many_acks = len(acknowledgements) >= MAX_DEFERRED_ACKS
+        # A higher token would have the worker refuse a command request that is on its way.
+        if (commands or has_many_acks) and not machine.sending:
+            commands = self._task_reconciler.with_acknowledgements(machine, commands, acknowledgements)
         machine.started_in_response.update(started_tasks(commands))
-        if not commands and not machine.unresolved and self._state.may_start():
+        if not commands and not has_many_acks and not machine.unresolved and self._state.may_start():
             machine.reconciled_at_change = self._state.store.change_count(machine.id)
         return commands
 
@@ -107,10 +111,11 @@
         machine.terminates_at = MonotonicTime(now + max(0.0, notice_s)) if notice_s is not None else None
         machine.last_contact_at = now
         previous_token, machine.token = machine.token, max(machine.token or 0, heartbeat.token)
-        if heartbeat.token not in self._ownership.own_tokens:
+        if not self._ownership.has_issued(heartbeat.token):
             # The status proves nothing: it may be older than commands of the former owner that are still in transit.
             machine.incarnation, machine.sequence = heartbeat.incarnation, heartbeat.sequence
             return False
+        machine.sent_token = max(machine.sent_token, FencingToken(heartbeat.token))
         if not machine.fenced:
             # A former owner may have responded to the machine until now.
             machine.fenced = True
--- a/src/cloverplank/shard/liveness.py
+++ b/src/cloverplank/shard/liveness.py
@@ -188,7 +188,7 @@
         if not machine.contact_confirmed:
             return
         for ref, start in machine.unresolved.items():
-            is_current = start.token == ownership.token and machine.last_contact_at > start.sent_at
+            is_current = start.token >= ownership.token and machine.last_contact_at > start.sent_at
             if is_current and now - start.sent_at > UNRESOLVED_TIMEOUT_S:
                 if not ownership.token_renewal_wanted:
                     log.info(
--- a/src/cloverplank/shard/ownership.py
+++ b/src/cloverplank/shard/ownership.py
@@ -28,7 +28,8 @@
         self._lease_s = limits.lease_s
         self.zone = zone
         self.token = token
-        self.own_tokens = {token}  # no other owner has sent commands under these
+        self.first_token = token
+        self.highest_token = token  # the highest one sent to any worker
         self.since = clock.monotonic()
         # A former owner may respond to workers until the end of its grace period; a lease that it renewed ends later.
         self.unfenced_expiry_at = MonotonicTime(
@@ -45,6 +46,10 @@
         """Return the comparisons that make a transaction fail once the shard has another owner."""
         return [Compare(keys.shard(self.zone), self.token)]
 
+    def has_issued(self, token: int) -> bool:
+        """Return whether this owner may have sent the token to a worker; no other owner has or will."""
+        return self.first_token <= token <= self.highest_token
+
     def supersede(self, heartbeat: Heartbeat) -> NoReturn:
         """Stop acting as the owner because a worker has shown a higher token.
 
@@ -57,7 +62,7 @@
                 self.zone,
                 heartbeat.machine,
                 heartbeat.token,
-                self.token,
+                self.highest_token,
             )
             self.superseded_by, self.superseded_at = MachineId(heartbeat.machine), self._clock.monotonic()
         self.superseded = True
@@ -78,7 +83,7 @@
         """Continue under a new token of this owner's own assignment; no other owner has responded in between."""
         log.info("shard %s: token renewed: %d -> %d", self.zone, self.token, token)
         self.token = token
-        self.own_tokens.add(token)
+        self.highest_token = max(self.highest_token, token)
         self.token_renewal_wanted = False
 
     def mark_former_owners_ended(self) -> None:
--- a/src/cloverplank/shard/shard_types.py
+++ b/src/cloverplank/shard/shard_types.py
@@ -11,7 +11,7 @@
 from cloverplank.jobs.records import JobRecord, Run
 from cloverplank.jobs.size_limits import RecordSizeLimits
 
-MAX_UNACKNOWLEDGED_RESPONSES = 3  # consecutive heartbeats answered although none carried the owner's token
+MAX_UNACKNOWLEDGED_RESPONSES = 3  # consecutive heartbeats answered although none carried the last response's token
 # Kinds of one-way partition, as named in log lines and stop reasons.
 INBOUND_PARTITION = "inbound partition"  # heartbeats arrive, but responses and commands do not reach the machine
 OUTBOUND_PARTITION = "outbound partition"  # commands reach the machine, but its heartbeats do not arrive
--- a/src/cloverplank/shard/state.py
+++ b/src/cloverplank/shard/state.py
@@ -15,6 +15,7 @@
 from cloverplank.shard.machine import Machine
 from cloverplank.shard.ownership import ShardOwnership
 from cloverplank.shard.shard_types import ShardLimits, StopRequest, TaskState
+from cloverplank.shard.worker_tokens import WorkerTokens
 from cloverplank.wire.cloud import MachineType
 from cloverplank.wire.users import JobSpec
 from cloverplank.zones.recovery_plan import ClassOrder, RecoveryLimits, RecoveryPlan, StartRateLimiter
@@ -31,6 +32,7 @@
 
     `machine_types`: returns the machine types by name. `request_cycle`: requests a scheduling cycle soon.
     `starts_at_once`: returns whether a job is of a class that should not wait for capacity that ending tasks free.
+    `newest_token`: returns the newest known revision of the store at which a shard was assigned under a token.
     """
 
     clock: Clock
@@ -44,6 +46,7 @@
     meter: LoadMeter
     failures: FailureHistory
     starts_at_once: Callable[[JobSpec], bool]
+    newest_token: Callable[[Zone, FencingToken], FencingToken]
 
 
 class ShardState:
@@ -64,6 +67,7 @@
         self.starts_at_once = services.starts_at_once
         self.may_start = may_start
         self.ownership = ShardOwnership(zone, token, services.clock, services.limits)
+        self.tokens = WorkerTokens(self.ownership, services.newest_token)
         self.machines: dict[MachineId, Machine] = {}
         self.stops: dict[TaskRef, StopRequest] = {}
         # Machines that consolidation is emptying, with the time of the last move.
--- a/src/cloverplank/shard/task_reconciler.py
+++ b/src/cloverplank/shard/task_reconciler.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 
 from cloverplank.background import BackgroundTasks
-from cloverplank.basic_types import JobId, MachineId, TaskRef
+from cloverplank.basic_types import FencingToken, JobId, MachineId, TaskRef
 from cloverplank.jobs.ranges import numbers
 from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob
@@ -84,7 +84,7 @@
             view = store.get(ref.job)
             is_placed = view is not None and view.record.run_of(ref, machine.id) is not None
             if task.state == TaskState.ENDED:
-                # No acknowledgement while a start command may still arrive: the worker would start the task again.
+                # No acknowledgement before it is known whether a start command has been executed.
                 if not is_placed and not machine.may_start_late(ref):
                     acknowledgements.append(Command("reap", ref.name, ref.attempt))
             elif not is_placed or (view is not None and not store.should_run(view)):
@@ -109,6 +109,14 @@
                         commands.append(Command("stop", ref.name, ref.attempt, 0.0))
         return commands
 
+    def with_acknowledgements(
+        self, machine: Machine, commands: list[Command], acknowledgements: list[Command]
+    ) -> list[Command]:
+        """Return one message's commands: the acknowledgements first, if the worker's token allows them by now."""
+        if not acknowledgements or not self._state.tokens.raise_above_starts(machine):
+            return commands
+        return (acknowledgements + commands)[:MAX_COMMANDS]
+
     def job_changed(self, view: CachedJob) -> None:
         """Send commands at once to the machines that a change of the job's record affects."""
         for run in view.record.runs:
@@ -140,7 +148,7 @@
                 commands, acknowledgements = self.due_commands(machine)
                 if not commands:
                     return
-                await self.send(machine, (acknowledgements + commands)[:MAX_COMMANDS])
+                await self.send(machine, self.with_acknowledgements(machine, commands, acknowledgements))
                 resend = machine.resend_wanted
         except FencedError:
             pass  # the ownership has recorded it
@@ -157,7 +165,10 @@
         started = set(started_tasks(commands))
         machine.started_in_commands |= started
         incarnation = machine.incarnation
-        body = encode(CommandRequest(ownership.token, incarnation, commands))
+        token = self._state.tokens.current(machine)
+        if started:
+            machine.last_start_token = max(machine.last_start_token, token)
+        body = encode(CommandRequest(token, incarnation, commands))
         try:
             response = await self._http.request(machine.addr, "POST", COMMANDS_PATH, body, timeout)
             heartbeat = decode(response.body, Heartbeat) if response.status in STATUSES_WITH_HEARTBEAT else None
@@ -167,25 +178,27 @@
             log.debug("command request to machine %s not sent: %s", machine.id, err)
             return SendOutcome.NOT_SENT if isinstance(err, NoFreeSocketError) else SendOutcome.FAILED
         except (NoResponseError, MessageDecodeError) as err:
-            self._record_no_response(machine, incarnation, started, str(err))
+            self._record_no_response(machine, incarnation, token, started, str(err))
             return SendOutcome.FAILED
         if heartbeat is None:
-            self._record_no_response(machine, incarnation, started, str(response.status))
+            self._record_no_response(machine, incarnation, token, started, str(response.status))
             return SendOutcome.FAILED
         machine.started_in_commands -= started
-        if heartbeat.token > ownership.token and heartbeat.machine not in ownership.untrusted_workers:
+        if heartbeat.token > ownership.highest_token and heartbeat.machine not in ownership.untrusted_workers:
             ownership.supersede(heartbeat)
         if heartbeat.machine == machine.id:
             self._apply_response(machine, heartbeat)
         return SendOutcome.ACCEPTED if response.status == HTTPStatus.OK else SendOutcome.FAILED
 
-    def _record_no_response(self, machine: Machine, incarnation: int, started: set[TaskRef], reason: str) -> None:
+    def _record_no_response(
+        self, machine: Machine, incarnation: int, token: FencingToken, started: set[TaskRef], reason: str
+    ) -> None:
         """Record that the commands may still be executed at any time until the incarnation or token changes."""
         now = self._state.clock.monotonic()
         machine.send_failed_at = now
         machine.started_in_commands -= started
         if machine.incarnation == incarnation:
-            start = UnresolvedStart(self._state.ownership.token, now)
+            start = UnresolvedStart(token, now)
             machine.unresolved.update(dict.fromkeys(started, start))
         log.debug("command request to machine %s got no valid response: %s", machine.id, reason)
 
