Log attempts that no record places where a worker shows them, and why starts are allowed

At debug, each request that starts tasks is logged with the token, the revision of the records and the state of the lease that allow it. The renewal of a shard's token says how long the former one was held. With `load_log_s`, the counts of raised tokens and of unplaced tasks are reported.

--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -334,7 +334,7 @@
     # -- operation
 
     def cache_sizes(self) -> dict[str, int]:
-        """Return the number of entries in each cache, by the cache's name."""
+        """Return the number of entries in each cache, and of events in the owned shards, by name."""
         return {
             "jobs": len(self.store.jobs),
             "blocked jobs": len(self.watch_cache.blocked.jobs),
@@ -343,6 +343,8 @@
             "machines": len(self.registry.entries),
             "failing jobs": len(self.failures),
             "own machines": sum(len(shard.machines) for shard in self.shards.values()),
+            "raised tokens": sum(shard.state.tokens.raised for shard in self.shards.values()),
+            "unplaced tasks": sum(shard.state.command_history.unplaced for shard in self.shards.values()),
             "queued transactions": self.queue.backlog(),
         }
 
--- a/src/cloverplank/shard/heartbeat_processor.py
+++ b/src/cloverplank/shard/heartbeat_processor.py
@@ -71,6 +71,7 @@
             machine.unacknowledged_responses = 1
         machine.last_response_at = state.clock.monotonic()
         machine.response_token = state.tokens.current(machine)
+        state.command_history.record(machine, machine.response_token, commands)
         return HeartbeatResponse(machine.response_token, commands)
 
     def _due_commands(self, machine: Machine) -> list[Command]:
--- a/src/cloverplank/shard/ownership.py
+++ b/src/cloverplank/shard/ownership.py
@@ -31,6 +31,7 @@
         self.first_token = token
         self.highest_token = token  # the highest one sent to any worker
         self.since = clock.monotonic()
+        self._token_since = self.since
         # A former owner may respond to workers until the end of its grace period; a lease that it renewed ends later.
         self.unfenced_expiry_at = MonotonicTime(
             self.since + limits.grace_s + limits.lease_s * LEASE_DRIFT_FACTOR + GRACE_MARGIN_S
@@ -81,8 +82,11 @@
 
     def renew_token(self, token: FencingToken) -> None:
         """Continue under a new token of this owner's own assignment; no other owner has responded in between."""
-        log.info("shard %s: token renewed: %d -> %d", self.zone, self.token, token)
+        now = self._clock.monotonic()
+        held_s = now - self._token_since
+        log.info("shard %s: token renewed: %d -> %d, after %.1f s", self.zone, self.token, token, held_s)
         self.token = token
+        self._token_since = now
         self.highest_token = max(self.highest_token, token)
         self.token_renewal_wanted = False
 
--- a/src/cloverplank/shard/state.py
+++ b/src/cloverplank/shard/state.py
@@ -12,6 +12,7 @@
 from cloverplank.load_meter import LoadMeter
 from cloverplank.net.messages import HttpClient
 from cloverplank.scheduling.failure_history import FailureHistory
+from cloverplank.shard.command_history import CommandHistory
 from cloverplank.shard.machine import Machine
 from cloverplank.shard.ownership import ShardOwnership
 from cloverplank.shard.shard_types import ShardLimits, StopRequest, TaskState
@@ -68,6 +69,7 @@
         self.may_start = may_start
         self.ownership = ShardOwnership(zone, token, services.clock, services.limits)
         self.tokens = WorkerTokens(self.ownership, services.newest_token)
+        self.command_history = CommandHistory(services.clock)
         self.machines: dict[MachineId, Machine] = {}
         self.stops: dict[TaskRef, StopRequest] = {}
         # Machines that consolidation is emptying, with the time of the last move.
--- a/src/cloverplank/shard/task_reconciler.py
+++ b/src/cloverplank/shard/task_reconciler.py
@@ -88,6 +88,8 @@
                 if not is_placed and not machine.may_start_late(ref):
                     acknowledgements.append(Command("reap", ref.name, ref.attempt))
             elif not is_placed or (view is not None and not store.should_run(view)):
+                if not is_placed:
+                    self._state.command_history.report_unplaced(machine, ref, task)
                 commands.append(Command("stop", ref.name, ref.attempt, 0.0))
             elif ref in stops and task.state != TaskState.SAVING:
                 commands.append(Command("stop", ref.name, ref.attempt, stops[ref].grace_s))
@@ -168,6 +170,8 @@
         token = self._state.tokens.current(machine)
         if started:
             machine.last_start_token = max(machine.last_start_token, token)
+            self._log_starts(machine, token, started)
+        self._state.command_history.record(machine, token, commands)
         body = encode(CommandRequest(token, incarnation, commands))
         try:
             response = await self._http.request(machine.addr, "POST", COMMANDS_PATH, body, timeout)
@@ -190,6 +194,19 @@
             self._apply_response(machine, heartbeat)
         return SendOutcome.ACCEPTED if response.status == HTTPStatus.OK else SendOutcome.FAILED
 
+    def _log_starts(self, machine: Machine, token: FencingToken, started: set[TaskRef]) -> None:
+        """Log why the starts are allowed: the committed records of a revision of the store, and the lease's state."""
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug(
+                "start: machine %s, token %d in incarnation %d, records as of revision %d or later, lease %s: %s",
+                machine.id,
+                token,
+                machine.incarnation,
+                self._state.tokens.newest(),
+                "active" if self._state.may_start() else "not active",
+                " ".join(f"{ref.name} attempt {ref.attempt}" for ref in sorted(started)),
+            )
+
     def _record_no_response(
         self, machine: Machine, incarnation: int, token: FencingToken, started: set[TaskRef], reason: str
     ) -> None:
--- a/src/cloverplank/shard/worker_tokens.py
+++ b/src/cloverplank/shard/worker_tokens.py
@@ -35,6 +35,10 @@
         """Return the token of the next message to the worker."""
         return max(self._ownership.token, machine.sent_token)
 
+    def newest(self) -> FencingToken:
+        """Return the newest known revision of the store at which the shard was assigned to this owner."""
+        return self._newest_token(self._ownership.zone, self._ownership.token)
+
     def raise_above_starts(self, machine: Machine) -> bool:
         """Raise the worker's token above those of all starts that were sent to it directly.
 
@@ -42,7 +46,7 @@
         """
         if machine.last_start_token < self.current(machine):
             return True
-        token = self._newest_token(self._ownership.zone, self._ownership.token)
+        token = self.newest()
         if token <= machine.last_start_token:
             return False
         log.debug("machine %s: token raised to %d, to acknowledge task exits", machine.id, token)
--- a/tests/simulation/test_checks_can_fail.py
+++ b/tests/simulation/test_checks_can_fail.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import logging
 from typing import Any
 
 import msgspec
@@ -20,9 +21,11 @@
 from cloverplank.shard import heartbeat_processor, liveness, placement, probing, task_reconciler
 from cloverplank.shard import machine as machines
 from cloverplank.shard import shard as shard_owner
+from cloverplank.shard.worker_tokens import WorkerTokens
 from cloverplank.wire.users import JobResponse
 from tests.simulation.job_graphs import submit_in_turn
 from tests.simulation.loop import run
+from tests.simulation.repeated_commands import play_with_repeated_commands
 from tests.simulation.scenario_actions import cancel_running_jobs, lengthen_tasks, other_controllers
 from tests.simulation.scenario_actions import shard_owner as label_of_shard_owner
 from tests.simulation.simulated_day import Scenario, day
@@ -65,6 +68,18 @@
     assert "ran_twice" in violated_rules(machines_partitioned)
 
 
+def test_start_of_an_acknowledged_attempt_is_detected_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """An owner acknowledges attempts under the token that their start commands carried."""
+    monkeypatch.setattr(WorkerTokens, "raise_above_starts", lambda self, machine: True)
+    with caplog.at_level(logging.INFO, "cloverplank.shard"):
+        world = run(play_with_repeated_commands(1))
+    assert {"ran_twice", "quota"} & set(world.rules.violations)
+    unplaced = [line for line in caplog.messages if line.startswith("unplaced:")]
+    assert any("start under token" in line and "acknowledged under token" in line for line in unplaced)
+
+
 def test_quota_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(quotas, "tasks_within_quota", lambda record, cpus, gpus, most: most)
     assert "quota" in violated_rules(jobs=24, capacity=20)
