Real processes: workers that are sent answered command requests once more

The harness told a command that crosses a partition by the token of the newest assignment; that owner may now send higher ones, too, while former owners' tokens stay below it.

--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -29,6 +29,7 @@
 POLL_S = 0.1
 CLOSE_DELAY_S = 0.5  # lets the simulated services notice that no controller is connected
 CAPACITY, SCALE = 40, 8.0
+REPEATED_COMMAND_DELAY_S = (0.1, 8.0)  # bounds of the time after which an answered command request arrives again
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -90,6 +91,7 @@
         self.servers: list[asyncio.Server] = []
         self.relays: dict[tuple[str, str], Relay] = {}  # by sender and receiver
         self.cut_zones: set[str] = set()
+        self.repeated_commands = 0
         super().__init__(seed, zones=zones, capacity=CAPACITY, scale=SCALE, controllers=controllers, cpu=cpu)
         self.started_at = self.now()
 
@@ -140,6 +142,8 @@
             if self._is_command_across_partition(machine, request.body):
                 await self._wait_while_cut(machine.zone)
             status, value = await machine.commands(request.body)
+            if self._happens(self.faults.repeated_command_fraction):
+                self.spawn(self._repeat_later(machine, request.body))
             return Response(status, msgspec.msgpack.encode(value))
 
         server = await self._serve(machine.addr, handle)
@@ -147,6 +151,12 @@
             await asyncio.sleep(POLL_S)
         server.close()
 
+    async def _repeat_later(self, machine: Machine, body: bytes) -> None:
+        await asyncio.sleep(self.random.uniform(*REPEATED_COMMAND_DELAY_S))
+        if machine.alive:
+            await machine.commands(body)
+            self.repeated_commands += 1
+
     async def send(
         self, src: str, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
     ) -> Response:
@@ -185,13 +195,13 @@
     def _is_command_across_partition(self, machine: Machine, body: bytes) -> bool:
         """Return whether a command crosses a partition, by its token, since nothing else identifies its sender.
 
-        It does if the token is that of the newest assignment of the zone's shard and a partition separates the owner
-        from the machine.
+        It does if the token is that of the newest assignment of the zone's shard, or one that its owner has raised, and
+        a partition separates the owner from the machine.
         """
         token = msgspec.msgpack.decode(body)["baton"]
         found = self.state.items.get(f"cp/block/{machine.zone}")
         return (
-            found is not None and token == found[1] and self._is_partitioned(machine.zone, self.home[found[0]["node"]])
+            found is not None and token >= found[1] and self._is_partitioned(machine.zone, self.home[found[0]["node"]])
         )
 
     # -- controllers
