Simulated world: each token that a worker is sent must be one that its sender owned

The mend of ran_twice rests on this: a raised token is a revision of the store at which the sender owned the shard, so that no two owners ever use the same one and a later owner's is higher.

--- a/tests/simulation/kvstore.py
+++ b/tests/simulation/kvstore.py
@@ -16,6 +16,8 @@
 
 Answer = tuple[int, Any]
 
+SHARDS = "cp/block/"  # prefix of the keys whose values are the assignments of shards
+
 LEASE_SLACK_S = 0.05  # a lease expires this long after its end, never before it
 WATCH_POLL_S = (0.05, 0.3)  # bounds of the interval at which an idle watch checks for outages and expired leases
 MAX_TRANSACTION_BYTES = 64 * 1024
@@ -44,6 +46,7 @@
         self.items: dict[str, tuple[Any, int, int | None]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
         self.log: list[dict] = []
+        self.shard_history: dict[str, list[tuple[int, Any]]] = {}  # revisions and values of each shard's key
         self.down = False
         self.refused_clients: set[str] = set()
         self.changed = asyncio.Event()
@@ -167,13 +170,27 @@
         self.puts += 1
         self.items[key] = (value, self.revision, lease)
         self.log.append({"put": key, "value": value, "stamp": self.revision})
+        self._record_shard(key, value)
         self.changed.set()
 
     def _delete(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.log.append({"delete": key, "stamp": self.revision})
+            self._record_shard(key, None)
             self.changed.set()
 
+    def _record_shard(self, key: str, value: Any) -> None:
+        if key.startswith(SHARDS):
+            self.shard_history.setdefault(key, []).append((self.revision, value))
+
+    def shard_owner_at(self, zone: str, revision: int) -> str | None:
+        """Return the controller that owned a zone's shard at a revision; None without one, or in the future."""
+        if revision > self.revision:
+            return None
+        changes = self.shard_history.get(SHARDS + zone, [])
+        value = next((value for changed_at, value in reversed(changes) if changed_at <= revision), None)
+        return None if value is None else value["node"]
+
     async def _watch(self, src: str, asked: dict[str, str]) -> Answer:
         """Return the changes after a revision once there are any or `wait_ms` has passed; hang during an outage."""
         after = int(asked["from"])
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -114,7 +114,7 @@
         """Carry a request and its response; raise `NoResponseError` after `timeout` s if either is lost or late."""
         message = Message(src, self._host(addr), addr, method, path, body or b"", timeout)
         if path == COMMANDS_PATH and message.body:
-            self.rules.commands_sent(src, msgspec.msgpack.decode(message.body)["orders"])
+            self._check_commands(src, message)
         draw = self.random.random() if message.host != src else 1.0
         if path.startswith(WATCH_PATH):
             draw = 1.0
@@ -130,6 +130,13 @@
         await asyncio.sleep(self.random.uniform(*LINK_DELAY_S))
         return Response(status, answer)
 
+    def _check_commands(self, src: str, message: Message) -> None:
+        sent = msgspec.msgpack.decode(message.body)
+        self.rules.commands_sent(src, sent["orders"])
+        machine = self.machines.get(message.host)
+        if machine is not None:
+            self.rules.token_sent(src, machine.zone, sent["baton"])
+
     def _host(self, addr: str) -> str:
         if addr.startswith(USER_ADDRESS_PREFIX):
             return addr.removeprefix(USER_ADDRESS_PREFIX)
@@ -275,5 +282,7 @@
         handle = router.handle_front if message.addr.startswith(USER_ADDRESS_PREFIX) else router.handle_peer
         response = await handle(Request(message.method, message.path.partition("?")[0], message.body))
         if message.path == HEARTBEAT_PATH and response.status == 200:
-            self.rules.commands_sent(message.host, msgspec.msgpack.decode(response.body)["orders"])
+            sent = msgspec.msgpack.decode(response.body)
+            self.rules.commands_sent(message.host, sent["orders"])
+            self.rules.token_sent(message.host, msgspec.msgpack.decode(message.body)["yard"], sent["baton"])
         return response.status, response.body
--- a/tests/simulation/rules.py
+++ b/tests/simulation/rules.py
@@ -1,7 +1,7 @@
 """The rules of the protocol, each checked at the event that could break it.
 
 Stand-ins and users report events to `Rules`, which records violations and never interferes. The names of the rules are
-those of the protocol, plus `begun_late`, `started_cancelled` and `starved`, which are stricter.
+those of the protocol, plus `begun_late`, `started_cancelled`, `starved` and `foreign_token`, which are stricter.
 """
 
 from __future__ import annotations
@@ -135,6 +135,11 @@
                 note = f"{command['piece']} by {src}, {now - cancelled_at:.1f} s after its cancellation"
                 self.record_violation("started_cancelled", note)
 
+    def token_sent(self, src: str, zone: str, token: int) -> None:
+        """Check that a message to a worker carries a revision of the store at which its sender owned the shard."""
+        if self.world.state.shard_owner_at(zone, token) != src:
+            self.record_violation("foreign_token", f"token {token} for a worker of {zone} by {src}")
+
     def sweep(self) -> None:
         """Check that no task runs for longer than `cancel_s` after its cancellation."""
         for job, cancelled_at in self.cancelled_at.items():
--- a/tests/simulation/test_checks_can_fail.py
+++ b/tests/simulation/test_checks_can_fail.py
@@ -80,6 +80,12 @@
     assert any("start under token" in line and "acknowledged under token" in line for line in unplaced)
 
 
+def test_token_that_the_sender_did_not_own_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An owner takes a token that a later owner may have."""
+    monkeypatch.setattr(controller_lease.ControllerLease, "newest_token", lambda self, zone, token: token + 10**6)
+    assert "foreign_token" in run(play_with_repeated_commands(0)).rules.violations
+
+
 def test_quota_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(quotas, "tasks_within_quota", lambda record, cpus, gpus, most: most)
     assert "quota" in violated_rules(jobs=24, capacity=20)
