--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -8,7 +8,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class MessageFaults:
-    """Faults of messages in flight, in addition to partitions and the constant noise; none by default.
+    """Faults of messages in flight, in addition to partitions and the constant noise.
+
+    By default only some answered commands are repeated, which no test should notice.
 
     A fraction is the probability that a message of that type is affected. `slots` makes a misspelled fault in a test an
     error.
@@ -23,8 +25,10 @@
     delayed_heartbeat_fraction: float = 0.0
     # Direct commands that arrive 1 to 8 s late, or whose responses are lost.
     delayed_command_fraction: float = 0.0
-    # Direct commands that were executed and answered, and are executed once more 0.3 to 30 s later.
-    repeated_command_fraction: float = 0.0
+    # Direct commands that were executed and answered, and arrive once more 0.3 to 30 s later.
+    repeated_command_fraction: float = 0.1
+    # The same for all other requests that were answered, except watches.
+    repeated_request_fraction: float = 0.0
     # Transactions that get no response and are applied 2 to 12 s late.
     late_commit_fraction: float = 0.0
     # Jobs that are cancelled when their last task ends. No stand-in reads this yet: setting it has no effect.
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -32,7 +32,7 @@
 HEARTBEAT_PATH, COMMANDS_PATH, COMMIT_PATH, WATCH_PATH = "/v1/report", "/orders", "/commit", "/watch"
 LINK_DELAY_S = (0.001, 0.01)  # bounds of the one-way delay
 REFUSAL_S = 0.002  # the time after which a connection to a process that is down is refused
-REPEATED_COMMAND_DELAY_S = (0.3, 30.0)  # bounds of the time after which an answered command request arrives again
+REPEAT_DELAY_S = (0.3, 30.0)  # bounds of the time after which an answered request arrives again
 LATE_COPY_LEASES = 4  # the maximum delay of a copied heartbeat, in worker leases
 
 
@@ -124,7 +124,7 @@
         await self._apply_one_way_partitions(message)
         await self._apply_request_noise(message, draw)
         status, answer = await self._exchange(message)
-        self._repeat_command(message)
+        self._repeat_answered(message)
         if draw < self.noise or self._is_cut(src, message.host):
             await self._lose(message, "response lost")
         await asyncio.sleep(self.random.uniform(*LINK_DELAY_S))
@@ -202,10 +202,14 @@
                 self._deliver_after(delay_s, message)
             await self._lose(message, "command delayed")
 
-    def _repeat_command(self, message: Message) -> None:
-        """Deliver a command request that was answered once more."""
-        if message.path == COMMANDS_PATH and self._happens(self.faults.repeated_command_fraction):
-            self._deliver_after(self.random.uniform(*REPEATED_COMMAND_DELAY_S), message)
+    def _repeat_answered(self, message: Message) -> None:
+        """Deliver a request that was answered once more, if it is to be repeated."""
+        if message.path.startswith(WATCH_PATH):
+            return
+        is_command = message.path == COMMANDS_PATH
+        fraction = self.faults.repeated_command_fraction if is_command else self.faults.repeated_request_fraction
+        if self._happens(fraction):
+            self._deliver_after(self.random.uniform(*REPEAT_DELAY_S), message)
 
     async def _delay_heartbeat(self, message: Message) -> None:
         if message.path == HEARTBEAT_PATH and self._happens(self.faults.delayed_heartbeat_fraction):
--- a/tests/simulation/repeated_commands.py
+++ b/tests/simulation/repeated_commands.py
@@ -1,4 +1,4 @@
-"""Days on which command requests that were executed and answered reach their machines once more."""
+"""Days on which requests that were executed and answered arrive once more."""
 
 from __future__ import annotations
 
@@ -29,11 +29,17 @@
         cancel_running_jobs(world, 1)
 
 
-async def play_with_repeated_commands(seed: int, world_type: type[World] = World) -> World:
-    """Play a day on which tasks fail and half of the answered command requests are repeated."""
+async def play_with_repeated_commands(
+    seed: int, world_type: type[World] = World, *, other_requests: float = 0.0
+) -> World:
+    """Play a day on which tasks fail, and half of the answered command requests are repeated.
+
+    `other_requests` is the fraction of all other answered requests that are repeated.
+    """
     world = world_type(seed=seed, zones=1 + seed % 2, capacity=3 + seed % 4)
     world.targets_shard_owner = seed % 3 == 0
     world.faults.repeated_command_fraction = REPEATED_FRACTION
+    world.faults.repeated_request_fraction = other_requests
     failures: dict[tuple[str, int], bool] = {}
 
     def fails(machine: Machine, task: Task) -> bool:
