Separate the planning of commands from their sending

`TaskReconciler` had two jobs: to determine what is due to a worker, and to send it. The first is now `shard.command_planner` (`CommandPlanner`, with `DueCommands` in place of a pair of lists); the processor of heartbeats needs only that. The counts of the load log left the composition root for `controller.load_counts`.

--- a/src/cloverplank/controller/composition.py
+++ b/src/cloverplank/controller/composition.py
@@ -333,21 +333,6 @@
 
     # -- operation
 
-    def cache_sizes(self) -> dict[str, int]:
-        """Return the number of entries in each cache, and of events in the owned shards, by name."""
-        return {
-            "jobs": len(self.store.jobs),
-            "blocked jobs": len(self.watch_cache.blocked.jobs),
-            "final states": len(self.watch_cache.finals),
-            "deleted keys": len(self.watch_cache.deleted),
-            "machines": len(self.registry.entries),
-            "failing jobs": len(self.failures),
-            "own machines": sum(len(shard.machines) for shard in self.shards.values()),
-            "raised tokens": sum(shard.state.tokens.raised for shard in self.shards.values()),
-            "unplaced tasks": sum(shard.state.command_history.unplaced for shard in self.shards.values()),
-            "queued transactions": self.queue.backlog(),
-        }
-
     async def run(self) -> None:
         """Run all background loops until one of them fails or the task is cancelled."""
         meter = self._environment.meter
--- a/src/cloverplank/serve.py
+++ b/src/cloverplank/serve.py
@@ -8,11 +8,13 @@
 import os
 import random
 import sys
+from functools import partial
 
 import uvloop
 
 from cloverplank.basic_types import Clock
 from cloverplank.controller.composition import Controller
+from cloverplank.controller.load_counts import load_counts
 from cloverplank.load_meter import LoadMeter, NoMeter
 from cloverplank.net.client import Client
 from cloverplank.net.server import Server
@@ -43,7 +45,8 @@
         await controller.run()
         return
     asyncio.get_running_loop().set_task_factory(meter.task_factory)
-    await asyncio.gather(controller.run(), meter.watch_lag(), meter.report(operator.load_log_s, controller.cache_sizes))
+    reporting = meter.report(operator.load_log_s, partial(load_counts, controller))
+    await asyncio.gather(controller.run(), meter.watch_lag(), reporting)
 
 
 def serve(platform: PlatformSettings, operator: OperatorSettings) -> None:
--- a/src/cloverplank/shard/heartbeat_processor.py
+++ b/src/cloverplank/shard/heartbeat_processor.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from cloverplank.basic_types import FencingToken, MachineId, MonotonicTime
+from cloverplank.shard.command_planner import MAX_DEFERRED_ACKS, CommandPlanner, started_tasks
 from cloverplank.shard.errors import HeartbeatRefusal, HeartbeatRefusedError
 from cloverplank.shard.machine import Health, Machine
 from cloverplank.shard.shard_types import MAX_UNACKNOWLEDGED_RESPONSES
 from cloverplank.shard.state import MAX_MACHINES, ShardState
 from cloverplank.shard.task_outcomes import TaskOutcomes
-from cloverplank.shard.task_reconciler import MAX_DEFERRED_ACKS, TaskReconciler, started_tasks
 from cloverplank.wire.workers import Command, Heartbeat, HeartbeatResponse
 
 
@@ -24,13 +24,13 @@
         self,
         state: ShardState,
         *,
-        task_reconciler: TaskReconciler,
+        planner: CommandPlanner,
         outcomes: TaskOutcomes,
         start_probe: Callable[[Machine], None],
     ) -> None:
         self._state = state
         self._ownership = state.ownership
-        self._task_reconciler = task_reconciler
+        self._planner = planner
         self._outcomes = outcomes
         self._start_probe = start_probe
 
@@ -76,11 +76,12 @@
 
     def _due_commands(self, machine: Machine) -> list[Command]:
         """Return the commands for a response, and record that they are being sent."""
-        commands, acknowledgements = self._task_reconciler.due_commands(machine)
-        has_many_acks = len(acknowledgements) >= MAX_DEFERRED_ACKS
+        due = self._planner.due(machine)
+        commands = due.commands
+        has_many_acks = len(due.acknowledgements) >= MAX_DEFERRED_ACKS
         # A higher token would have the worker refuse a command request that is on its way.
         if (commands or has_many_acks) and not machine.sending:
-            commands = self._task_reconciler.with_acknowledgements(machine, commands, acknowledgements)
+            commands = self._planner.with_acknowledgements(machine, due)
         machine.started_in_response.update(started_tasks(commands))
         if not commands and not has_many_acks and not machine.unresolved and self._state.may_start():
             machine.reconciled_at_change = self._state.store.change_count(machine.id)
--- a/src/cloverplank/shard/shard.py
+++ b/src/cloverplank/shard/shard.py
@@ -8,6 +8,7 @@
 from cloverplank.scheduling.committed_headroom import CommittedHeadroom
 from cloverplank.scheduling.queue import QueuedJob
 from cloverplank.shard.capacity import ShardCapacity
+from cloverplank.shard.command_planner import CommandPlanner
 from cloverplank.shard.consolidation import Consolidation
 from cloverplank.shard.evictions import Evictions
 from cloverplank.shard.heartbeat_processor import HeartbeatProcessor
@@ -37,7 +38,10 @@
         self.zone = zone
         self.ownership = state.ownership
         self.machines = state.machines
-        self.task_reconciler = TaskReconciler(state, services.http, services.meter, self._apply_command_response)
+        planner = CommandPlanner(state)
+        self.task_reconciler = TaskReconciler(
+            state, planner, http=services.http, meter=services.meter, apply_response=self._apply_command_response
+        )
         changes = RecordChanges(state, services.queue)
         self._evictions = Evictions(state, changes)
         stops = TaskStops(state, self.task_reconciler.send_due_commands)
@@ -56,7 +60,7 @@
         self._consolidation = Consolidation(state, capacity=capacity, stops=stops)
         self.heartbeat_processor = HeartbeatProcessor(
             state,
-            task_reconciler=self.task_reconciler,
+            planner=planner,
             outcomes=TaskOutcomes(state, changes, turnover.record_freed),
             start_probe=self._prober.start_probe,
         )
--- a/src/cloverplank/shard/task_reconciler.py
+++ b/src/cloverplank/shard/task_reconciler.py
@@ -1,4 +1,4 @@
-"""Task reconciliation: determines the commands for each worker, and sends them in command requests."""
+"""Task reconciliation: sends workers the commands that are due in command requests, and takes in the responses."""
 
 from __future__ import annotations
 
@@ -9,25 +9,20 @@
 from http import HTTPStatus
 
 from cloverplank.background import BackgroundTasks
-from cloverplank.basic_types import FencingToken, JobId, MachineId, TaskRef
+from cloverplank.basic_types import FencingToken, MachineId, TaskRef
 from cloverplank.jobs.ranges import numbers
-from cloverplank.jobs.records import Phase
 from cloverplank.jobs.store import CachedJob
 from cloverplank.load_meter import LoadMeter, Part
 from cloverplank.net.messages import HttpClient, NoFreeSocketError, NoResponseError, RequestNotSentError
+from cloverplank.shard.command_planner import CommandPlanner, started_tasks
 from cloverplank.shard.errors import FencedError
 from cloverplank.shard.machine import Health, Machine, UnresolvedStart
-from cloverplank.shard.shard_types import TaskState, placed_refs
 from cloverplank.shard.state import ShardState
 from cloverplank.wire.codec import MessageDecodeError, decode, encode
 from cloverplank.wire.workers import COMMANDS_PATH, Command, CommandRequest, Heartbeat
 
 log = logging.getLogger(__name__)
 
-MAX_COMMANDS = 250  # per message; keeps a response well under 64 KiB
-# Acknowledgements of ended tasks are deferred until other commands are sent to the machine, up to this number, because
-# each change on a machine causes one more heartbeat.
-MAX_DEFERRED_ACKS = 8
 COMMAND_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 1.0  # time limit of a request without commands
 STATUSES_WITH_HEARTBEAT = (HTTPStatus.OK, HTTPStatus.CONFLICT)
@@ -42,83 +37,30 @@
     NOT_SENT = auto()  # no socket was free on this side, which says nothing about the machine
 
 
-def started_tasks(commands: list[Command]) -> list[TaskRef]:
-    """Return the tasks that the commands start."""
-    refs = []
-    for command in commands:
-        if command.op == "start":
-            job, _, index = command.task.rpartition("/")
-            refs.append(TaskRef(JobId(job), int(index), command.attempt))  # type: ignore[arg-type]
-    return refs
-
-
 class TaskReconciler:
-    """Compares the committed records with the newest heartbeats of one shard's machines, and sends commands.
+    """Sends the commands that are due to the workers of one shard.
 
     Reconciliation is level-triggered: commands are recomputed each time, so a lost response, a restart or a failover
-    needs no special handling. `apply_response`: applies the status in a worker's response to a command request.
+    needs no special handling. `planner`: determines the commands that are due. `apply_response`: applies the status in
+    a worker's response to a command request.
     """
 
     def __init__(
         self,
         state: ShardState,
+        planner: CommandPlanner,
+        *,
         http: HttpClient,
         meter: LoadMeter,
         apply_response: Callable[[Machine, Heartbeat], None],
     ) -> None:
         self._state = state
+        self._planner = planner
         self._http = http
         self._meter = meter
         self._apply_response = apply_response
         self._tasks = BackgroundTasks()
 
-    def due_commands(self, machine: Machine) -> tuple[list[Command], list[Command]]:
-        """Return the commands that a worker should execute now, and acknowledgements, which can wait.
-
-        Both follow from the committed records and the machine's newest heartbeat.
-        """
-        store, stops = self._state.store, self._state.stops
-        commands: list[Command] = []
-        acknowledgements: list[Command] = []
-        for ref, task in machine.tasks.items():
-            view = store.get(ref.job)
-            is_placed = view is not None and view.record.run_of(ref, machine.id) is not None
-            if task.state == TaskState.ENDED:
-                # No acknowledgement before it is known whether a start command has been executed.
-                if not is_placed and not machine.may_start_late(ref):
-                    acknowledgements.append(Command("reap", ref.name, ref.attempt))
-            elif not is_placed or (view is not None and not store.should_run(view)):
-                if not is_placed:
-                    self._state.command_history.report_unplaced(machine, ref, task)
-                commands.append(Command("stop", ref.name, ref.attempt, 0.0))
-            elif ref in stops and task.state != TaskState.SAVING:
-                commands.append(Command("stop", ref.name, ref.attempt, stops[ref].grace_s))
-        if machine.health is Health.UP and self._state.may_start():
-            commands += self._due_starts(machine)
-        return commands[:MAX_COMMANDS], acknowledgements
-
-    def _due_starts(self, machine: Machine) -> list[Command]:
-        store, stops = self._state.store, self._state.stops
-        commands: list[Command] = []
-        for view in store.jobs_on(machine.id):
-            if not store.should_run(view) or view.staged.phase is not Phase.OPEN:
-                continue
-            for ref in placed_refs(view.record, machine.id):
-                # Both records must agree: a task that is about to leave the machine must not be started there again.
-                if ref not in machine.tasks and view.staged.run_of(ref, machine.id) is not None:
-                    commands.append(Command("start", ref.name, ref.attempt))
-                    if ref in stops:
-                        commands.append(Command("stop", ref.name, ref.attempt, 0.0))
-        return commands
-
-    def with_acknowledgements(
-        self, machine: Machine, commands: list[Command], acknowledgements: list[Command]
-    ) -> list[Command]:
-        """Return one message's commands: the acknowledgements first, if the worker's token allows them by now."""
-        if not acknowledgements or not self._state.tokens.raise_above_starts(machine):
-            return commands
-        return (acknowledgements + commands)[:MAX_COMMANDS]
-
     def job_changed(self, view: CachedJob) -> None:
         """Send commands at once to the machines that a change of the job's record affects."""
         for run in view.record.runs:
@@ -147,10 +89,10 @@
             resend = True
             while resend and not self._state.ownership.superseded and machine.incarnation > 0:
                 machine.resend_wanted = False
-                commands, acknowledgements = self.due_commands(machine)
-                if not commands:
+                due = self._planner.due(machine)
+                if not due.commands:
                     return
-                await self.send(machine, self.with_acknowledgements(machine, commands, acknowledgements))
+                await self.send(machine, self._planner.with_acknowledgements(machine, due))
                 resend = machine.resend_wanted
         except FencedError:
             pass  # the ownership has recorded it
--- a/tests/shard/test_heartbeats.py
+++ b/tests/shard/test_heartbeats.py
@@ -7,9 +7,9 @@
 import msgspec
 import pytest
 
+from cloverplank.shard.command_planner import MAX_DEFERRED_ACKS
 from cloverplank.shard.errors import HeartbeatRefusal, HeartbeatRefusedError
 from cloverplank.shard.shard_types import MAX_UNACKNOWLEDGED_RESPONSES
-from cloverplank.shard.task_reconciler import MAX_DEFERRED_ACKS
 from cloverplank.wire.codec import decode
 from cloverplank.wire.workers import Heartbeat, TaskStatus
 from tests.shard.conftest import REPLICAS, ServiceCluster
--- a/tests/simulation/test_checks_can_fail.py
+++ b/tests/simulation/test_checks_can_fail.py
@@ -18,7 +18,7 @@
 from cloverplank.leader import dependency_reconciler
 from cloverplank.net.messages import make_response
 from cloverplank.scheduling import capacity, quotas
-from cloverplank.shard import heartbeat_processor, liveness, placement, probing, task_reconciler
+from cloverplank.shard import command_planner, heartbeat_processor, liveness, placement, probing
 from cloverplank.shard import machine as machines
 from cloverplank.shard import shard as shard_owner
 from cloverplank.shard.worker_tokens import WorkerTokens
@@ -97,13 +97,13 @@
 
 
 def test_ran_cancelled_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
-    real = task_reconciler.TaskReconciler.due_commands
+    real = command_planner.CommandPlanner.due
 
     def never_stopping(self, machine):
-        commands, acknowledgements = real(self, machine)
-        return [o for o in commands if o.op != "stop"], acknowledgements
+        due = real(self, machine)
+        return msgspec.structs.replace(due, commands=[o for o in due.commands if o.op != "stop"])
 
-    monkeypatch.setattr(task_reconciler.TaskReconciler, "due_commands", never_stopping)
+    monkeypatch.setattr(command_planner.CommandPlanner, "due", never_stopping)
     assert "ran_cancelled" in violated_rules()
 
 
