Dependency faults: cancel jobs as they complete, in place of a fault that nothing read

`cancel_at_completion_fraction` was read by no stand-in, so the scenario `cancelled_at_completion` waited for a minute and tested nothing. It now cancels half of the jobs within a tenth of a second after their last task ended.

--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -31,8 +31,6 @@
     repeated_request_fraction: float = 0.0
     # Transactions that get no response and are applied 2 to 12 s late.
     late_commit_fraction: float = 0.0
-    # Jobs that are cancelled when their last task ends. No stand-in reads this yet: setting it has no effect.
-    cancel_at_completion_fraction: float = 0.0
     # Upper bounds of the additional delay of each request to the key-value store, and of each message.
     max_store_delay_s: float = 0.0
     max_link_delay_s: float = 0.0
--- a/tests/simulation/test_dependency_faults.py
+++ b/tests/simulation/test_dependency_faults.py
@@ -24,9 +24,15 @@
 
 
 async def cancelled_at_completion(world: World) -> None:
-    """Set the fraction of jobs cancelled at completion; no effect, since no stand-in reads the fraction yet."""
-    world.faults.cancel_at_completion_fraction = 0.5
-    await asyncio.sleep(60)
+    """Cancel half of the jobs as their last tasks end, which may be before or after their completion is committed."""
+    ended: set[str] = set()
+    for _ in range(600):
+        now = {job for job in world.rules.accepted if world.all_done(job)}
+        for job in sorted(now - ended):
+            if world.random.random() < 0.5:
+                world.spawn(world.cancel_job(job))
+        ended |= now
+        await asyncio.sleep(0.1)
 
 
 async def store_outage_longer_than_cancel_limit(world: World) -> None:
