Keep a shard whose renewed token the watch delivers before the commit's response

What callers saw: nothing by itself; found by a new case of test_late_copies.py (copies after an eviction, with the token renewed each second), in which a machine that was cut off was not evicted within 90 s.

Cause: an owner renews its token by committing its assignment again, and takes the new one for its own by the revision in the response. Where the watch delivered the commit first, the owner found an assignment that it did not know, released its shard and acquired it anew, without all that it knew of the machines: none of them up, no lease counted. A decision before the answer that it needs.

Change: while a renewal is in flight, another token of its own assignment is left alone until the response tells whether it is the renewal. An assignment to another controller, or none, is acted on at once as before. Meanwhile no heartbeat is answered, as before.

--- a/src/cloverplank/shard/owned_shards.py
+++ b/src/cloverplank/shard/owned_shards.py
@@ -70,6 +70,7 @@
         self._make_shard = make_shard
         self.shards: dict[Zone, Shard] = {}
         self.renewed_tokens: dict[Zone, FencingToken] = {}  # tokens of own assignments that were committed again
+        self._renewing: set[Zone] = set()  # zones with a renewal whose response has not arrived
         self.tasks = BackgroundTasks()
         self._former_owners = FormerOwners(
             zones,
@@ -105,6 +106,8 @@
             token = self._controller_lease.assigned_token(zone)
             shard = self.shards.get(zone)
             if shard is not None and token != shard.ownership.token:
+                if token is not None and zone in self._renewing:
+                    continue  # the response tells whether this is the renewal
                 if token is not None and self.renewed_tokens.get(zone) == token:
                     shard.ownership.renew_token(token)
                 else:
@@ -171,13 +174,16 @@
         key = keys.shard(shard.zone)
         record = ShardRecord(shard.zone, self._controller_lease.node_id, lease)
         transaction = Transaction([Compare(key, shard.ownership.token)], [Put(key, record, lease)])
+        self._renewing.add(shard.zone)
         try:
             result = await self._queue.commit(transaction, TransactionPriority.LEASE)
         except (TransactionRejectedError, QueueFullError):
             return
+        finally:
+            self._renewing.discard(shard.zone)
         if not result.conflicts:
             self.renewed_tokens[shard.zone] = FencingToken(result.revision)
-            self.update()
+        self.update()
 
     async def _release_if_isolated(self, shard: Shard) -> None:
         """Release a shard whose machines have all been silent for longer than the isolation timeout."""
--- a/tests/simulation/test_late_copies.py
+++ b/tests/simulation/test_late_copies.py
@@ -32,9 +32,20 @@
         """Create the watched job."""
         self.answered: list[tuple[Machine, bytes]] = []
         self.fillers = 0
+        self.started: list[tuple[str, str, int]] = []  # the machine, task and attempt of each start
+        self._record_starts()
         self.spec = self.job(1, pieces=1, vcpus=1.0)
         self.task = f"{self.spec['id']}/0"
 
+    def _record_starts(self) -> None:
+        real = self.rules.task_started
+
+        def recorded(name: str, attempt: int, machine: Machine) -> None:
+            self.started.append((machine.id, name, attempt))
+            real(name, attempt, machine)
+
+        self.rules.task_started = recorded
+
     async def send(self, src, addr, method, path, body=None, timeout=2.0) -> Response:
         """Carry a request and its response, and keep the request if it holds commands."""
         response = await super().send(src, addr, method, path, body, timeout)
@@ -72,15 +83,20 @@
         await self.until(lambda: (self.task, 1) not in machine.tasks, with_fillers=True)
 
     async def deliver_copies(self) -> None:
-        """Deliver every answered request once more, and check that no task starts and no rule is broken."""
-        starts = self.rules.starts
-        started = [body for _, body in self.answered if self.task in str(msgspec.msgpack.decode(body)["orders"])]
-        assert started, "the task was not started by a direct command"
+        """Deliver every answered request once more; check that no attempt in them starts and no rule is broken."""
+        sent = {
+            (machine.id, command["piece"], command["try"])
+            for machine, body in self.answered
+            for command in msgspec.msgpack.decode(body)["orders"]
+            if command["verb"] == "start"
+        }
+        assert any(task == self.task for _, task, _ in sent), "the task was not started by a direct command"
+        started_before = len(self.started)
         for machine, body in list(self.answered):
             if machine.alive:
                 await machine.commands(body)
         check(self)
-        assert self.rules.starts == starts
+        assert not sent & set(self.started[started_before:])
 
 
 async def fails(world: CopyingWorld) -> Machine:
@@ -133,8 +149,23 @@
     return machine
 
 
+async def is_evicted(world: CopyingWorld) -> Machine:
+    """Cut the machine off for longer than its lease, until the replacement runs; the cloud terminates nothing."""
+    machine = await world.first_start(runs_s=LONG_S)
+    spare = world.machines[world.boot(machine.type, machine.zone, machine.spot)]
+    await world.until(lambda: spare.sequence > 1)
+    world.cloud.down = True
+    world.cut(machine.id, "*")
+    await world.until(lambda: world.rules.running_on[world.task] not in (set(), {machine.id}))
+    world.heal()
+    await asyncio.sleep(world.report_s)
+    world.cloud.down = False
+    assert (world.task, 1) not in machine.tasks
+    return machine
+
+
 Event = Callable[[CopyingWorld], Awaitable[Machine]]
-EVENTS = (fails, is_done, is_moved, is_cancelled, is_refused)
+EVENTS = (fails, is_done, is_moved, is_cancelled, is_refused, is_evicted)
 
 
 @pytest.fixture(params=EVENTS, ids=lambda event: event.__name__)
