--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -292,6 +292,7 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
 
     # -- committed state
 
