--- a/review/common2/addresses.py
+++ b/review/common2/addresses.py
@@ -1,18 +1,12 @@
-"""Free loopback addresses for one cluster; every address is one that the system has named as unused."""
+"""Free loopback addresses for one cluster: a host of its own in 127.0.0.0/8, and ports on it that are unused."""
 
 from __future__ import annotations
 
+import random
 import socket
+from itertools import count
 
-HOST = "127.0.0.1"
-
-
-def free_address() -> str:
-    """Return an unused address on the loopback interface."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+FIRST_PORT = 20_000  # below the ports that outgoing connections get
 
 
 class FreeAddresses:
@@ -20,17 +14,27 @@
 
     def __init__(self, labels: list[str]) -> None:
         self._labels = labels
+        choice = random.SystemRandom()
+        self._host = ".".join(["127", *(str(choice.randint(1, 254)) for _ in range(3))])
+        self._ports = count(FIRST_PORT)
         self._taken: dict[tuple[str, ...], str] = {}
         self.cloud = self._address("cloud")
 
     def _address(self, *name: str) -> str:
         if name not in self._taken:
-            address = free_address()
-            while address in self._taken.values():
-                address = free_address()
-            self._taken[name] = address
+            port = next(port for port in self._ports if self._is_free(port))
+            self._taken[name] = f"{self._host}:{port}"
         return self._taken[name]
 
+    def _is_free(self, port: int) -> bool:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((self._host, port))
+            except OSError:
+                return False
+        return True
+
     def front(self, label: str) -> str:
         """Return the address at which a controller serves users and workers."""
         return self._address("front", label)
--- a/review/common2/cluster.py
+++ b/review/common2/cluster.py
@@ -31,6 +31,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 NEVER_S = 1e6
+SILENT_S = 60.0  # longer than any request is waited for
 POLL_S = 0.1
 READY_TIMEOUT_S = 25.0
 
@@ -194,9 +195,22 @@
     async def _serve_machine(self, machine: Machine) -> None:
         while machine.alive and machine.up_at > self.now():
             await asyncio.sleep(min(POLL_S, machine.up_at - self.now()))
-        if machine.alive:
-            self.note(f"machine {machine.id} is up")
-            await super()._serve_machine(machine)
+        if not machine.alive:
+            return
+
+        async def handle(request: Request) -> Response:
+            if request.method != "POST":
+                return Response(200, msgspec.msgpack.encode(machine.heartbeat()))
+            if not machine.alive:  # connections to a machine that is gone hang
+                await asyncio.sleep(SILENT_S)
+            status, value = await machine.commands(request.body)
+            return Response(status, msgspec.msgpack.encode(value))
+
+        server = await self._serve(machine.addr, handle)
+        self.note(f"machine {machine.id} is up")
+        while machine.alive:
+            await asyncio.sleep(POLL_S)
+        server.close()
 
     async def send(
         self, src: str, addr: str, method: str, path: str, body: bytes | None = None, timeout: float = 2.0
