--- a/review/common2/cluster.py
+++ b/review/common2/cluster.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import os
 import shlex
 import subprocess
 import tomllib
@@ -22,6 +22,7 @@
 import tests.simulation.world as world_module
 from cloverplank.net.messages import NoResponseError, Request, Response
 from review.common2.addresses import FreeAddresses
+from review.common2.errors import NotRunError
 from review.common2.site import Site
 from tests.loopback.cluster import LoopbackCluster
 from tests.loopback.processes import Process
@@ -275,7 +276,8 @@
     async def watch_for_wait(self, spec: dict[str, Any], bound_s: float, until_s: float) -> float:
         """Return the longest time for which no task of the job was started though room and limit allowed one.
 
-        Ends when a task starts, when the time exceeds `bound_s`, or `until_s` seconds after the cluster's start.
+        Ends when a task starts or when the time exceeds `bound_s`. Raises NotRunError if neither has happened `until_s`
+        seconds after the cluster's start.
         """
         longest, since, place = 0.0, None, ""
         while not self.started(spec["id"]) and self.now() - self.started_at < until_s:
@@ -296,14 +298,11 @@
                 break
             await asyncio.sleep(POLL_S)
         self.note(f"{spec['id']}: waited {longest:.1f} s beside room, started: {self.started(spec['id'])}")
+        if longest <= bound_s and not self.started(spec["id"]):
+            raise NotRunError(f"{spec['id']} had waited {longest:.1f} s beside room when the time was over")
         return longest
 
 
 def _environment() -> dict[str, str]:
-    import os
-
     kept = {name: value for name, value in os.environ.items() if not name.startswith("PYTHON")}
     return kept | {"LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")}
-
-
-__all__ = ["ENDED", "NEVER_S", "ROOT", "Request", "ReviewCluster", "math"]
--- a/review/common2/runner.py
+++ b/review/common2/runner.py
@@ -21,10 +21,6 @@
 Scenario = Callable[[Path, TextIO, bool], Awaitable[str]]
 
 
-class NotRunError(Exception):
-    """The scenario could not bring about the situation that it is about."""
-
-
 async def _play(scenario: Scenario, folder: Path, record: TextIO, trouble: bool) -> str:
     task = asyncio.ensure_future(scenario(folder, record, trouble))
     loop = asyncio.get_running_loop()
